--- /dev/null
+++ b/internal/coordination/capacity.go
@@ -0,0 +1,388 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"sagevale/internal/storage"
+)
+
+const (
+	// cloudShare of the cloud's request budget is used.
+	cloudShare = 0.8
+	// listsPerLag is how often the machine list is read within its lag.
+	listsPerLag = 2
+	// catalogueLeases is how often the catalogue is read again.
+	catalogueLeases = 5
+	// returnBatch is how many machines one deletion names, under the cloud's 100.
+	returnBatch = 50
+	// listPage is the cloud's largest page.
+	listPage = 500
+)
+
+// capacity is the actor that owns the fleet's desired size. It grows and
+// shrinks in bounded steps and alone speaks to the cloud.
+type capacity struct {
+	settings *Settings
+	cloud    Cloud
+	term     uint64
+	dispatch *dispatcher
+	journal  *storage.Journal
+	log      *slog.Logger
+	mailbox  chan any
+	limiter  *rate.Limiter
+	ctx      context.Context
+
+	began        time.Time
+	desired      int
+	hires        map[string]*hire // recorded, not yet answered
+	nextHire     int
+	recording    bool // a step is being recorded
+	upSince      time.Time
+	healthySince time.Time
+	coolTill     time.Time
+	frozenTill   time.Time
+	returning    map[int]bool // asked of the cloud, not yet answered
+	listing      bool
+	lastList     time.Time
+	pricing      bool
+	lastPrices   time.Time
+}
+
+type hire struct {
+	storage.HireRecord
+	durable bool
+	asking  bool
+	retryAt time.Time
+}
+
+// Messages to the capacity actor.
+type (
+	viewMsg     struct{ view fleetView }
+	returnMsg   struct{ machines []int }
+	recordedMsg struct {
+		hires []string
+		drain int
+		err   error
+	}
+	hireAnswer struct {
+		name     string
+		machines []int
+		err      error
+	}
+	returnAnswer struct {
+		machines []int
+		err      error
+	}
+	listAnswer struct {
+		machines []Listed
+		err      error
+	}
+	pricesAnswer struct {
+		types []storage.MachineType
+		err   error
+	}
+)
+
+func newCapacity(s *Settings, deps Deps, term uint64, d *dispatcher, journal *storage.Journal, log *slog.Logger) *capacity {
+	c := &capacity{
+		settings: s, cloud: deps.Cloud, term: term, dispatch: d, journal: journal, log: log,
+		mailbox: make(chan any, 256),
+		limiter: rate.NewLimiter(rate.Limit(s.CloudRPS*cloudShare), max(1, int(s.CloudRPS*cloudShare))),
+		began:   time.Now(), desired: d.desired,
+		hires: make(map[string]*hire), returning: make(map[int]bool),
+	}
+	for name, h := range d.hires {
+		c.hires[name] = &hire{HireRecord: h, durable: true}
+	}
+	return c
+}
+
+func (c *capacity) post(m any) {
+	select {
+	case c.mailbox <- m:
+	case <-c.dispatch.closed:
+	case <-c.dispatch.ctx.Done():
+	}
+}
+
+func (c *capacity) run(ctx context.Context) error {
+	c.ctx = ctx
+	tick := time.NewTicker(scale(c.settings.Report, tickPerReport))
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case m := <-c.mailbox:
+			c.handle(m)
+		case <-tick.C:
+		}
+		c.poll(time.Now())
+		c.askHires(time.Now())
+	}
+}
+
+func (c *capacity) handle(m any) {
+	now := time.Now()
+	switch m := m.(type) {
+	case viewMsg:
+		c.reconcile(m.view, now)
+	case returnMsg:
+		c.giveBack(m.machines)
+	case recordedMsg:
+		c.recorded(m, now)
+	case hireAnswer:
+		c.hired(m, now)
+	case returnAnswer:
+		for _, id := range m.machines {
+			delete(c.returning, id)
+		}
+		if m.err != nil {
+			c.trouble("return", m.err, now)
+			return
+		}
+		c.dispatch.post(returnedMsg{m.machines})
+	case listAnswer:
+		c.listing = false
+		if m.err != nil {
+			c.trouble("list", m.err, now)
+			return
+		}
+		c.dispatch.post(listMsg{m.machines})
+	case pricesAnswer:
+		c.pricing = false
+		if m.err != nil {
+			c.trouble("catalogue", m.err, now)
+			c.lastPrices = now.Add(-catalogueLeases*c.settings.Lease + c.settings.Report)
+			return
+		}
+		c.dispatch.post(catalogueMsg{m.types})
+	default:
+		c.log.Error("unknown message", "type", fmt.Sprintf("%T", m))
+	}
+}
+
+// trouble freezes resizing for a while after a cloud failure.
+func (c *capacity) trouble(what string, err error, now time.Time) {
+	c.frozenTill = now.Add(c.settings.Report)
+	c.healthySince = time.Time{}
+	c.log.Info("cloud failure", "call", what, "err", err)
+}
+
+// call runs one cloud call within the budget; done gets its context.
+func (c *capacity) call(f func(ctx context.Context)) {
+	go func() {
+		if err := c.limiter.Wait(c.ctx); err != nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(c.ctx, scale(c.settings.Lease, 0.5))
+		defer cancel()
+		f(ctx)
+	}()
+}
+
+// poll reads the machine list and the catalogue when they are due.
+func (c *capacity) poll(now time.Time) {
+	if !c.listing && now.Sub(c.lastList) >= c.settings.ListLag/listsPerLag {
+		c.listing, c.lastList = true, now
+		c.call(func(ctx context.Context) {
+			machines, err := c.listAll(ctx)
+			c.post(listAnswer{machines, err})
+		})
+	}
+	if !c.pricing && now.Sub(c.lastPrices) >= catalogueLeases*c.settings.Lease {
+		c.pricing, c.lastPrices = true, now
+		c.call(func(ctx context.Context) {
+			types, err := c.cloud.Catalogue(ctx)
+			c.post(pricesAnswer{types, err})
+		})
+	}
+}
+
+func (c *capacity) listAll(ctx context.Context) ([]Listed, error) {
+	var out []Listed
+	after := 0
+	for {
+		page, more, err := c.cloud.List(ctx, after, listPage)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, page...)
+		if !more || len(page) == 0 {
+			return out, nil
+		}
+		after = page[len(page)-1].Machine
+		if err := c.limiter.Wait(ctx); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// reconcile follows the design: growth after sustained pressure in bounded
+// steps, one drained machine at a time after a healthy window and a cooldown.
+func (c *capacity) reconcile(v fleetView, now time.Time) {
+	frozen := now.Before(c.frozenTill) || now.Sub(c.began) < c.settings.Report || !v.settled
+	if len(v.wants) == 0 {
+		c.upSince = time.Time{}
+	} else {
+		c.healthySince = time.Time{}
+		if c.upSince.IsZero() {
+			c.upSince = now
+		}
+	}
+	if !v.healthy || v.draining || frozen {
+		c.healthySince = time.Time{}
+	} else if c.healthySince.IsZero() && len(v.wants) == 0 {
+		c.healthySince = now
+	}
+	if frozen || c.recording || len(c.hires) > 0 {
+		return
+	}
+	switch {
+	case len(v.wants) > 0 && now.Sub(c.upSince) >= c.settings.Tuning.UpWindow:
+		c.grow(v, now)
+	case v.spare != 0 && !c.healthySince.IsZero() && now.Sub(c.healthySince) >= c.settings.Tuning.DownWindow && now.After(c.coolTill):
+		c.shrink(v, now)
+	}
+}
+
+// grow records the new size with the term and the names of the hires in one
+// conditional write, and asks the cloud after that.
+func (c *capacity) grow(v fleetView, now time.Time) {
+	counts := make(map[offer]int)
+	var order []offer
+	n := 0
+	for _, o := range v.wants {
+		if n == c.settings.Tuning.GrowStep {
+			break
+		}
+		if counts[o] == 0 {
+			order = append(order, o)
+		}
+		counts[o]++
+		n++
+	}
+	c.desired = v.size + n
+	var names []string
+	records := []storage.Record{c.fleetRecord()}
+	for _, o := range order {
+		c.nextHire++
+		name := fmt.Sprintf("r-%d-%d", c.term, c.nextHire)
+		h := storage.HireRecord{Type: o.kind, Zone: o.zone, Spot: o.spot, Count: counts[o]}
+		c.hires[name] = &hire{HireRecord: h}
+		names = append(names, name)
+		rec, err := storage.NewRecord(storage.HireKey(name), h)
+		if err != nil {
+			c.log.Error("hire not encoded", "err", err)
+			continue
+		}
+		records = append(records, rec)
+		c.log.Info("grow", "hire", name, "type", o.kind, "zone", o.zone, "spot", o.spot, "count", counts[o], "desired", c.desired)
+	}
+	c.upSince = time.Time{}
+	c.record(records, recordedMsg{hires: names})
+}
+
+func (c *capacity) shrink(v fleetView, now time.Time) {
+	c.desired = v.size - 1
+	c.coolTill = now.Add(c.settings.Tuning.Cooldown)
+	c.log.Info("shrink", "machine", v.spare, "desired", c.desired)
+	c.record([]storage.Record{c.fleetRecord()}, recordedMsg{drain: v.spare})
+}
+
+func (c *capacity) fleetRecord() storage.Record {
+	rec, err := storage.NewRecord(storage.FleetKey, storage.FleetRecord{Desired: c.desired, Term: c.term})
+	if err != nil {
+		c.log.Error("fleet not encoded", "err", err)
+	}
+	return rec
+}
+
+func (c *capacity) record(records []storage.Record, then recordedMsg) {
+	c.recording = true
+	c.journal.Append(c.ctx, storage.Batch{Records: records, Ack: func(err error) {
+		then.err = err
+		c.post(then)
+	}})
+}
+
+func (c *capacity) recorded(m recordedMsg, now time.Time) {
+	c.recording = false
+	if m.err != nil {
+		return
+	}
+	for _, name := range m.hires {
+		if h := c.hires[name]; h != nil {
+			h.durable = true
+		}
+	}
+	if m.drain != 0 {
+		c.dispatch.post(drainMsg{m.drain, "spare"})
+	}
+}
+
+// askHires sends the recorded hires; one without an answer is repeated under
+// its own name, so that it rents once.
+func (c *capacity) askHires(now time.Time) {
+	for name, h := range c.hires {
+		if !h.durable || h.asking || now.Before(h.retryAt) {
+			continue
+		}
+		h.asking = true
+		rec := h.HireRecord
+		c.call(func(ctx context.Context) {
+			machines, err := c.cloud.Hire(ctx, name, rec)
+			c.post(hireAnswer{name, machines, err})
+		})
+	}
+}
+
+func (c *capacity) hired(m hireAnswer, now time.Time) {
+	h := c.hires[m.name]
+	if h == nil {
+		return
+	}
+	h.asking = false
+	o := offer{h.Type, h.Zone, h.Spot}
+	switch {
+	case m.err == nil:
+		c.log.Info("hired", "hire", m.name, "type", h.Type, "zone", h.Zone, "spot", h.Spot, "asked", h.Count, "got", len(m.machines))
+		c.dispatch.post(hiredMsg{h.HireRecord, m.machines})
+		if len(m.machines) < h.Count {
+			c.dispatch.post(refusedMsg{o})
+		}
+	case errors.Is(m.err, ErrNoCapacity), errors.Is(m.err, ErrMalformed):
+		c.log.Info("hire refused", "hire", m.name, "type", h.Type, "zone", h.Zone, "spot", h.Spot, "err", m.err)
+		c.dispatch.post(refusedMsg{o})
+	default:
+		c.trouble("hire", m.err, now)
+		h.retryAt = now.Add(c.settings.Report / 2)
+		return
+	}
+	delete(c.hires, m.name)
+	rec := storage.Record{Key: storage.HireKey(m.name)}
+	c.journal.Append(c.ctx, storage.Batch{Records: []storage.Record{rec}})
+}
+
+// giveBack asks the cloud to take machines whose return is durable.
+func (c *capacity) giveBack(ids []int) {
+	var batch []int
+	for _, id := range ids {
+		if !c.returning[id] && len(batch) < returnBatch {
+			c.returning[id] = true
+			batch = append(batch, id)
+		}
+	}
+	if len(batch) == 0 {
+		return
+	}
+	c.call(func(ctx context.Context) {
+		c.post(returnAnswer{batch, c.cloud.Return(ctx, batch)})
+	})
+}
--- /dev/null
+++ b/internal/coordination/dispatcher.go
@@ -0,0 +1,464 @@
+package coordination
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+
+	"sagevale/internal/storage"
+)
+
+const (
+	// tickPerReport is the dispatcher's clock, in report intervals.
+	tickPerReport = 0.15
+	// stallPerReport is how long a commit may take, in report intervals,
+	// before those who wait for it are told to come back.
+	stallPerReport = 0.35
+	// tryStride leaves room for this many attempts in one term.
+	tryStride = 1 << 24
+)
+
+// dispatcher is the actor for jobs, bookings and placement during one term of
+// leadership. All its fields are its own; others speak to it by messages.
+type dispatcher struct {
+	settings *Settings
+	deps     Deps
+	term     uint64
+	role     Role
+	journal  *storage.Journal
+	capacity *capacity
+	resign   chan<- uint64
+	log      *slog.Logger
+	rand     *rand.Rand
+
+	mailbox chan any
+	closed  chan struct{}
+	ctx     context.Context
+
+	began     time.Time
+	types     map[string]*storage.MachineType
+	typeNames []string
+	jobs      map[string]*job
+	open      map[string]*job // open jobs, or final ones with attempts left
+	machines  map[int]*machine
+	books     *storage.Books
+	classes   map[string]*class
+	hires     map[string]storage.HireRecord // open at the take-over
+	desired   int
+	nextTry   uint64
+	refused   map[offer]time.Time
+
+	dirty     map[string]func() any // record key -> its data when written
+	committed []func(error)         // called when what is dirty now is durable
+	writing   map[string]bool       // keys in the commit under way
+	inCommit  []func(error)
+	waiters   []*waiter
+	openTasks int       // tasks kept in memory
+	commitAt  time.Time // when the commit under way began; zero: none
+	place     bool      // something changed that placement should look at
+	lastView  time.Time
+
+	listed     bool         // the cloud's list has been seen in this term
+	goneBefore map[int]bool // machines whose return the cloud has confirmed
+	gpuNeed    storage.Room
+	gpuNeedAt  time.Time
+}
+
+// Messages to the dispatcher.
+type (
+	roleMsg struct{ role Role }
+	userMsg struct {
+		req   UserRequest
+		reply chan Answer
+	}
+	beatMsg struct {
+		report *Report
+		reply  chan BeatAnswer
+	}
+	directMsg struct {
+		machine int
+		session uint64
+		starts  []*attempt
+		outcome Outcome
+		report  *Report
+	}
+	committedMsg struct{ err error }
+	catalogueMsg struct{ types []storage.MachineType }
+	listMsg      struct{ machines []Listed }
+	hiredMsg     struct {
+		hire     storage.HireRecord
+		machines []int
+	}
+	refusedMsg  struct{ offer offer }
+	returnedMsg struct{ machines []int }
+	drainMsg    struct {
+		machine int
+		reason  string
+	}
+)
+
+func newDispatcher(s *Settings, deps Deps, role Role, journal *storage.Journal, resign chan<- uint64, log *slog.Logger) (*dispatcher, error) {
+	d := &dispatcher{
+		settings: s, deps: deps, term: role.Term, role: role, journal: journal, resign: resign, log: log,
+		rand:    rand.New(rand.NewPCG(deps.Rand.Uint64(), role.Term)),
+		mailbox: make(chan any, mailboxSize), closed: make(chan struct{}), ctx: context.Background(),
+		began: time.Now(), types: make(map[string]*storage.MachineType),
+		jobs: make(map[string]*job), open: make(map[string]*job), machines: make(map[int]*machine),
+		books: storage.NewBooks(), classes: make(map[string]*class), hires: make(map[string]storage.HireRecord),
+		nextTry: role.Term * tryStride, refused: make(map[offer]time.Time),
+		dirty: make(map[string]func() any), goneBefore: make(map[int]bool), place: true,
+	}
+	return d, d.load(journal.Records())
+}
+
+// load rebuilds the state from the records: single ones first, then machines
+// and jobs, then the pages that refer to both.
+func (d *dispatcher) load(records []storage.Record) error {
+	order := func(key string) int { return strings.IndexByte("cfhmjp", key[0]) }
+	sort.SliceStable(records, func(a, b int) bool { return order(records[a].Key) < order(records[b].Key) })
+	for _, r := range records {
+		if err := d.loadRecord(r); err != nil {
+			return fmt.Errorf("record %s: %w", r.Key, err)
+		}
+	}
+	for _, j := range d.jobs {
+		if j.phase == storage.Open || len(j.attempts) > 0 {
+			d.open[j.spec.ID] = j
+			d.openTasks += len(j.tasks)
+		} else {
+			j.tasks, j.waiting = nil, 0
+		}
+		if j.phase != storage.Open {
+			d.stopAll(j)
+		}
+	}
+	return nil
+}
+
+func (d *dispatcher) loadRecord(r storage.Record) error {
+	rest := r.Key[1:]
+	switch r.Key[0] {
+	case storage.KindCatalogue:
+		var types []storage.MachineType
+		if err := json.Unmarshal(r.Data, &types); err != nil {
+			return err
+		}
+		d.setTypes(types)
+	case storage.KindFleet:
+		var f storage.FleetRecord
+		if err := json.Unmarshal(r.Data, &f); err != nil {
+			return err
+		}
+		d.desired = f.Desired
+	case storage.KindHire:
+		var h storage.HireRecord
+		if err := json.Unmarshal(r.Data, &h); err != nil {
+			return err
+		}
+		d.hires[rest] = h
+	case storage.KindMachine:
+		var rec storage.MachineRecord
+		if err := json.Unmarshal(r.Data, &rec); err != nil {
+			return err
+		}
+		var id int
+		if _, err := fmt.Sscan(rest, &id); err != nil {
+			return err
+		}
+		m := newMachine(id, d.began)
+		m.addr, m.kind, m.zone, m.spot, m.session = rec.Addr, rec.Type, rec.Zone, rec.Spot, rec.Session
+		m.returning, m.recorded, m.typ = rec.Returning, true, d.types[rec.Type]
+		d.machines[id] = m
+	case storage.KindJob:
+		var rec storage.JobRecord
+		if err := json.Unmarshal(r.Data, &rec); err != nil {
+			return err
+		}
+		d.loadJob(rest, rec)
+	case storage.KindPage:
+		var rec storage.PageRecord
+		if err := json.Unmarshal(r.Data, &rec); err != nil {
+			return err
+		}
+		id, _, _ := strings.Cut(rest, "/")
+		d.loadPage(id, rec)
+	}
+	return nil
+}
+
+func (d *dispatcher) loadJob(id string, rec storage.JobRecord) {
+	spec := storage.Spec{Tasks: rec.Tasks}
+	if rec.Spec != nil {
+		spec = *rec.Spec
+	}
+	spec.ID = id
+	j := newJob(spec, time.UnixMilli(rec.AtMS))
+	j.phase, j.known, j.settled = rec.Phase, true, rec.Phase != storage.Open
+	if j.settled {
+		j.done = rec.DoneOf
+		if rec.Spec == nil {
+			j.tasks, j.waiting = nil, 0
+		}
+	}
+	d.jobs[id] = j
+}
+
+func (d *dispatcher) loadPage(id string, rec storage.PageRecord) {
+	j := d.jobs[id]
+	if j == nil || j.tasks == nil {
+		return
+	}
+	doneBefore := j.done
+	for i := 0; i+1 < len(rec.Done); i += 2 {
+		for t := rec.Done[i]; t <= rec.Done[i+1]; t++ {
+			j.setTask(t, taskDone)
+		}
+	}
+	if j.settled {
+		j.done = doneBefore
+	}
+	for _, ar := range rec.Attempts {
+		m := d.machine(ar.Machine)
+		a := &attempt{job: j, task: ar.Task, try: ar.Try, on: m, session: ar.Session, durable: true, booked: d.began}
+		d.enter(a)
+		m.session = max(m.session, ar.Session)
+	}
+}
+
+// machine returns the machine of that number, made known if need be.
+func (d *dispatcher) machine(id int) *machine {
+	m := d.machines[id]
+	if m == nil {
+		m = newMachine(id, time.Now())
+		d.machines[id] = m
+	}
+	return m
+}
+
+func (d *dispatcher) setTypes(types []storage.MachineType) {
+	d.types = make(map[string]*storage.MachineType, len(types))
+	d.typeNames = d.typeNames[:0]
+	for i := range types {
+		t := types[i]
+		d.types[t.Name] = &t
+		d.typeNames = append(d.typeNames, t.Name)
+	}
+	for _, m := range d.machines {
+		m.typ = d.types[m.kind]
+	}
+	for _, j := range d.jobs {
+		j.fits = nil
+	}
+}
+
+// post sends a message that must not be lost; the mailbox is large, and an
+// ended dispatcher takes nothing.
+func (d *dispatcher) post(m any) {
+	select {
+	case d.mailbox <- m:
+	case <-d.closed:
+	}
+}
+
+func (d *dispatcher) close() { close(d.closed) }
+
+// user asks the dispatcher on behalf of a user. A full mailbox is answered at
+// once.
+func (d *dispatcher) user(ctx context.Context, req UserRequest) Answer {
+	reply := make(chan Answer, 1)
+	select {
+	case d.mailbox <- userMsg{req, reply}:
+	case <-d.closed:
+		return Unavailable(req.ID, "leader is stepping down")
+	default:
+		return Answer{Code: CodeBusy, ID: req.ID, Reason: "too much asked at once", RetryS: 2}
+	}
+	select {
+	case a := <-reply:
+		return a
+	case <-d.closed:
+		return Unavailable(req.ID, "leader is stepping down")
+	case <-ctx.Done():
+		return Unavailable(req.ID, "not decided in time")
+	}
+}
+
+// beat hands a worker's report to the dispatcher.
+func (d *dispatcher) beat(ctx context.Context, r *Report) BeatAnswer {
+	reply := make(chan BeatAnswer, 1)
+	select {
+	case d.mailbox <- beatMsg{r, reply}:
+	case <-d.closed:
+		return BeatAnswer{Busy: true}
+	default:
+		return BeatAnswer{Busy: true}
+	}
+	select {
+	case a := <-reply:
+		return a
+	case <-d.closed:
+		return BeatAnswer{Busy: true}
+	case <-ctx.Done():
+		return BeatAnswer{Busy: true}
+	}
+}
+
+// run works in rounds: it takes what has arrived, decides once for all of it,
+// and writes in one group what must be durable. The more arrives, the wider
+// the rounds.
+func (d *dispatcher) run(ctx context.Context) error {
+	d.ctx = ctx
+	d.spreadToken()
+	tick := time.NewTicker(scale(d.settings.Report, tickPerReport))
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			d.failWaiting(Unavailable("", "leader is stepping down"))
+			return ctx.Err()
+		case m := <-d.mailbox:
+			d.handle(m)
+			for n := len(d.mailbox); n > 0; n-- {
+				d.handle(<-d.mailbox)
+			}
+		case <-tick.C:
+			d.tick()
+		}
+		if d.place {
+			d.placeRound()
+		}
+		d.flush()
+	}
+}
+
+func (d *dispatcher) handle(m any) {
+	switch m := m.(type) {
+	case roleMsg:
+		d.role = m.role
+	case userMsg:
+		d.handleUser(m)
+	case beatMsg:
+		m.reply <- d.handleBeat(m.report)
+	case directMsg:
+		d.handleDirect(m)
+	case committedMsg:
+		d.handleCommitted(m.err)
+	case catalogueMsg:
+		d.setTypes(m.types)
+		d.mark(storage.CatalogueKey, func() any { return m.types })
+		d.place = true
+	case listMsg:
+		d.handleList(m.machines)
+	case hiredMsg:
+		d.handleHired(m)
+	case refusedMsg:
+		d.refused[m.offer] = time.Now()
+	case returnedMsg:
+		for _, id := range m.machines {
+			d.gone(id, "returned")
+			d.goneBefore[id] = true
+		}
+	case drainMsg:
+		if mc := d.machines[m.machine]; mc != nil {
+			d.drain(mc, m.reason)
+		}
+	default:
+		d.log.Error("unknown message", "type", fmt.Sprintf("%T", m))
+	}
+}
+
+// certain tells whether this node surely leads now.
+func (d *dispatcher) certain(now time.Time) bool { return now.Before(d.role.Certain) }
+
+// mark notes that an entity's record must be written; data is asked for its
+// value when it is.
+func (d *dispatcher) mark(key string, data func() any) { d.dirty[key] = data }
+
+func (d *dispatcher) markJob(j *job) {
+	d.mark(storage.JobKey(j.spec.ID), func() any { return j.record() })
+}
+
+func (d *dispatcher) markPage(j *job, task int) {
+	p := task / storage.PageTasks
+	d.mark(storage.PageKey(j.spec.ID, p), func() any {
+		if rec := j.page(p); rec != nil {
+			return rec
+		}
+		return nil
+	})
+}
+
+func (d *dispatcher) markMachine(m *machine) {
+	m.recorded = true
+	d.mark(storage.MachineKey(m.id), func() any { return m.record() })
+}
+
+// pageSettled tells whether a task's page is durable as it stands.
+func (d *dispatcher) pageSettled(id TaskID) bool {
+	key := storage.PageKey(id.Job, id.Task/storage.PageTasks)
+	_, dirty := d.dirty[key]
+	return !dirty && !d.writing[key]
+}
+
+// onCommit calls f once all that is dirty now is durable.
+func (d *dispatcher) onCommit(f func(error)) { d.committed = append(d.committed, f) }
+
+// flush hands what is dirty to the journal, unless a commit is under way:
+// then it joins the next one.
+func (d *dispatcher) flush() {
+	if !d.commitAt.IsZero() || (len(d.dirty) == 0 && len(d.committed) == 0) {
+		return
+	}
+	keys := make([]string, 0, len(d.dirty))
+	for k := range d.dirty {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	batch := storage.Batch{Ack: func(err error) { d.post(committedMsg{err}) }}
+	d.writing = make(map[string]bool, len(keys))
+	for _, k := range keys {
+		rec, err := storage.NewRecord(k, d.dirty[k]())
+		if err != nil {
+			d.log.Error("record not encoded", "key", k, "err", err)
+			continue
+		}
+		batch.Records = append(batch.Records, rec)
+		d.writing[k] = true
+	}
+	clear(d.dirty)
+	d.inCommit, d.committed = d.committed, nil
+	d.commitAt = time.Now()
+	d.journal.Append(d.ctx, batch)
+}
+
+func (d *dispatcher) handleCommitted(err error) {
+	calls := d.inCommit
+	if len(d.committed) == 0 {
+		defer func() { d.waiters = d.waiters[:0] }()
+	}
+	d.inCommit, d.writing, d.commitAt = nil, nil, time.Time{}
+	for _, f := range calls {
+		f(err)
+	}
+}
+
+// tick does what the clock asks for.
+func (d *dispatcher) tick() {
+	now := time.Now()
+	if d.stalled(now) || !d.certain(now) {
+		d.failWaiting(Unavailable("", "state service slow or out of reach"))
+	}
+	d.expire(now)
+	d.place = true
+	if now.Sub(d.lastView) >= time.Second {
+		d.lastView = now
+		v := d.fleetView(now)
+		d.giveBack(append(v.emptied, v.lost...))
+		d.capacity.post(viewMsg{v})
+	}
+}
--- /dev/null
+++ b/internal/coordination/fleet.go
@@ -0,0 +1,496 @@
+package coordination
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"sagevale/internal/storage"
+)
+
+// offer is a kind of machine that the cloud may rent.
+type offer struct {
+	kind string
+	zone string
+	spot bool
+}
+
+// fleetView is what the capacity actor needs to know, once a second.
+type fleetView struct {
+	wants    []offer // machines that would cover the pressure, in order
+	healthy  bool    // every machine's reports are fresh and nothing is unproved
+	spare    int     // a machine that could be returned; 0: none
+	emptied  []int   // drained machines without tasks, to be returned
+	lost     []int   // failed, silent or never-up machines, to be returned
+	draining bool    // a drain is still open
+	size     int     // machines that are or may be ours
+	settled  bool    // a cloud list has been seen in this term
+}
+
+// class keeps what arrivals of a class of jobs look like.
+type class struct {
+	last     *job
+	arrivals []arrival
+}
+
+type arrival struct {
+	at    time.Time
+	tasks int
+}
+
+const (
+	// rateLeases is the window of the arrival rate, in worker leases.
+	rateLeases = 6.0
+	// bootPatience: a machine that is not up after this many times its boot
+	// time no longer counts as coming, and is returned at twice that.
+	bootPatience = 3.0
+)
+
+func (d *dispatcher) arrival(j *job, now time.Time) {
+	c := d.classes[j.spec.Class]
+	if c == nil {
+		c = &class{}
+		d.classes[j.spec.Class] = c
+	}
+	c.last = j
+	c.arrivals = append(c.arrivals, arrival{now, j.spec.Tasks})
+	horizon := now.Add(-scale(d.settings.Lease, rateLeases))
+	for len(c.arrivals) > 0 && c.arrivals[0].at.Before(horizon) {
+		c.arrivals = c.arrivals[1:]
+	}
+}
+
+// reserve is how many tasks of the class to keep room for: those expected to
+// come while a machine boots, and some for luck.
+func (d *dispatcher) reserve(c *class, now time.Time) int {
+	if c.last == nil || c.last.spec.Priority < storage.High {
+		return 0
+	}
+	window := scale(d.settings.Lease, rateLeases)
+	if age := now.Sub(d.began); age < window {
+		window = max(age, d.settings.Lease)
+	}
+	n := 0
+	for _, a := range c.arrivals {
+		if now.Sub(a.at) <= window {
+			n += a.tasks
+		}
+	}
+	boot := 0.0
+	for _, name := range d.fitting(&c.last.spec) {
+		if b := d.types[name].BootS; boot == 0 || b < boot {
+			boot = b
+		}
+	}
+	mean := float64(n) / window.Seconds() * boot
+	return int(math.Ceil(mean + d.settings.Tuning.Reserve*math.Sqrt(mean) - 0.5))
+}
+
+// perGPU is the most CPUs and memory that open jobs take with an accelerator.
+func (d *dispatcher) perGPU() storage.Room {
+	if d.gpuNeedAt.IsZero() || time.Since(d.gpuNeedAt) > d.settings.Report {
+		d.gpuNeedAt = time.Now()
+		var need storage.Room
+		for _, j := range d.open {
+			if g := j.spec.Room.GPUs; g > 0 {
+				need.CPUs = max(need.CPUs, j.spec.Room.CPUs/g)
+				need.MemoryGB = max(need.MemoryGB, j.spec.Room.MemoryGB/g)
+			}
+		}
+		d.gpuNeed = need
+	}
+	return d.gpuNeed
+}
+
+// slot is a machine's free room in a trial packing.
+type slot struct {
+	offer
+	typ  *storage.MachineType
+	free storage.Room
+}
+
+// fleetView reckons the pressure: the waiting tasks' requested room minus the
+// free room on ready and booting machines, by a trial packing.
+func (d *dispatcher) fleetView(now time.Time) fleetView {
+	v := fleetView{healthy: true, settled: d.listed}
+	var slots []*slot
+	for _, m := range d.sortedMachines() {
+		silent := now.Sub(m.lastBeat) > d.settings.fresh()
+		switch {
+		case m.returning:
+			v.lost = append(v.lost, m.id)
+			continue
+		case m.failed:
+			v.lost = append(v.lost, m.id)
+			continue
+		case !m.heard && len(m.attempts) == 0 && m.bootOverdue(now, 2*bootPatience):
+			v.lost = append(v.lost, m.id)
+			v.size++
+			continue
+		}
+		v.size++
+		if m.draining != "" {
+			if len(m.attempts) == 0 {
+				v.emptied = append(v.emptied, m.id)
+			} else {
+				v.draining = true
+			}
+			continue
+		}
+		if m.heard && silent {
+			v.healthy = false
+			continue
+		}
+		if m.typ == nil || (!m.heard && m.bootOverdue(now, bootPatience)) {
+			continue
+		}
+		slots = append(slots, &slot{offer{m.kind, m.zone, m.spot}, m.typ, m.typ.Room.Minus(d.books.Machine(m.id))})
+	}
+	if d.certain(now) {
+		v.wants = d.shortage(slots, now)
+		if len(v.wants) == 0 {
+			v.spare = d.spare(slots, now)
+		}
+	}
+	return v
+}
+
+func (m *machine) bootOverdue(now time.Time, times float64) bool {
+	return m.typ != nil && now.Sub(m.born) > seconds(m.typ.BootS*times+5)
+}
+
+// demand is a group of alike tasks in a trial packing.
+type demand struct {
+	job    *job
+	counts map[string]int
+	n      int
+	kept   bool // room to keep, not a task
+}
+
+// demands lists the waiting tasks, most urgent first, then the room to keep.
+func (d *dispatcher) demands(now time.Time) []*demand {
+	var waiting []*job
+	for _, j := range d.open {
+		if j.phase == storage.Open && j.waiting > 0 && j.failures < 3 {
+			waiting = append(waiting, j)
+		}
+	}
+	byUrgency(waiting, d.withinGuarantee)
+	var out []*demand
+	teams := make(map[string]storage.Room)
+	for _, j := range waiting {
+		team := d.settings.team(j.spec.Team)
+		if team == nil {
+			continue
+		}
+		n := 0
+		for ; n < j.waiting; n++ {
+			used := d.books.Team(j.spec.Team).Plus(teams[j.spec.Team]).Plus(j.spec.Room)
+			if !storage.Within(used, team.Limit) {
+				break
+			}
+			teams[j.spec.Team] = teams[j.spec.Team].Plus(j.spec.Room)
+		}
+		if n > 0 {
+			out = append(out, &demand{job: j, counts: j.zoneCounts(), n: n})
+		}
+	}
+	names := make([]string, 0, len(d.classes))
+	for n := range d.classes {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		c := d.classes[n]
+		if k := d.reserve(c, now); k > 0 {
+			model := &job{spec: c.last.spec}
+			model.spec.Spread, model.spec.SameZone = false, false
+			out = append(out, &demand{job: model, counts: map[string]int{}, n: k, kept: true})
+		}
+	}
+	return out
+}
+
+// shortage packs the demands into the slots and returns the offers that would
+// hold what is left, cheapest for its share first.
+func (d *dispatcher) shortage(slots []*slot, now time.Time) []offer {
+	var wants []offer
+	for _, dm := range d.demands(now) {
+		for dm.n > 0 {
+			if s := d.bestSlot(dm, slots); s != nil {
+				s.free = s.free.Minus(dm.job.spec.Room)
+				dm.counts[s.zone]++
+				dm.n--
+				continue
+			}
+			o, ok := d.bestOffer(dm, now)
+			if !ok || len(wants) >= d.settings.Tuning.GrowStep {
+				break
+			}
+			wants = append(wants, o)
+			typ := d.types[o.kind]
+			slots = append(slots, &slot{o, typ, typ.Room})
+		}
+	}
+	return wants
+}
+
+// bestSlot finds the fullest slot that takes one more task of the demand.
+func (d *dispatcher) bestSlot(dm *demand, slots []*slot) *slot {
+	s := &dm.job.spec
+	var best *slot
+	bestFree := 0.0
+	for _, sl := range slots {
+		if (sl.spot && !s.Spot) || !allowed(s.Types, sl.kind) || !s.Room.Fits(sl.free) || !dm.job.zoneAllows(sl.zone, dm.counts) {
+			continue
+		}
+		if s.Room.GPUs == 0 && sl.typ.Room.GPUs > 0 {
+			need, left := d.perGPU(), sl.free.Minus(s.Room)
+			if left.CPUs < need.CPUs*sl.free.GPUs || left.MemoryGB < need.MemoryGB*sl.free.GPUs {
+				continue
+			}
+		}
+		f := sl.free.CPUs/sl.typ.Room.CPUs + 2*sl.free.GPUs
+		if s.Spot && !sl.spot {
+			f += 100
+		}
+		if best == nil || f < bestFree {
+			best, bestFree = sl, f
+		}
+	}
+	return best
+}
+
+// bestOffer finds the machine that holds what is left of a demand at the least
+// price a task, among those that the cloud hasn't refused lately.
+func (d *dispatcher) bestOffer(dm *demand, now time.Time) (offer, bool) {
+	s := &dm.job.spec
+	var best offer
+	bestCost := math.Inf(1)
+	for _, name := range d.fitting(s) {
+		t := d.types[name]
+		fit := fitCount(t.Room, s.Room)
+		for _, zone := range t.Zones {
+			if !dm.job.zoneAllows(zone, dm.counts) {
+				continue
+			}
+			for _, spot := range []bool{true, false} {
+				if spot && (!s.Spot || t.SpotPrice <= 0) {
+					continue
+				}
+				o := offer{name, zone, spot}
+				if at, ok := d.refused[o]; ok && now.Sub(at) < d.settings.Lease {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				cost := price / float64(min(fit, dm.n))
+				cost *= 1 + 0.02*float64(d.countOf(zone))/float64(1+len(d.machines))
+				if cost < bestCost {
+					best, bestCost = o, cost
+				}
+			}
+		}
+	}
+	return best, !math.IsInf(bestCost, 1)
+}
+
+// countOf is how many machines are in a zone; ties go to the emptier one.
+func (d *dispatcher) countOf(zone string) int {
+	n := 0
+	for _, m := range d.machines {
+		if m.zone == zone {
+			n++
+		}
+	}
+	return n
+}
+
+// fitCount is how many tasks of that room a machine holds.
+func fitCount(machine, task storage.Room) int {
+	n := math.Inf(1)
+	if task.CPUs > 0 {
+		n = min(n, machine.CPUs/task.CPUs)
+	}
+	if task.GPUs > 0 {
+		n = min(n, machine.GPUs/task.GPUs)
+	}
+	if task.MemoryGB > 0 {
+		n = min(n, machine.MemoryGB/task.MemoryGB)
+	}
+	if math.IsInf(n, 1) {
+		return 1 << 20
+	}
+	return max(1, int(n+1e-6))
+}
+
+// spare finds the least booked machine without which all that waits, all that
+// is to be kept and what runs on it would still fit.
+func (d *dispatcher) spare(slots []*slot, now time.Time) int {
+	best, bestShare := 0, 2.0
+	for _, m := range d.sortedMachines() {
+		if !m.ready(now, d.settings.fresh()) {
+			continue
+		}
+		if used := d.bookedShare(m); used < bestShare && d.canSpare(m, now) {
+			best, bestShare = m.id, used
+		}
+	}
+	return best
+}
+
+func (d *dispatcher) bookedShare(m *machine) float64 {
+	used, all := d.books.Machine(m.id), m.typ.Room
+	share := used.CPUs / all.CPUs
+	if all.GPUs > 0 {
+		share = max(share, used.GPUs/all.GPUs)
+	}
+	return share
+}
+
+// canSpare tries a packing of everything without the machine.
+func (d *dispatcher) canSpare(m *machine, now time.Time) bool {
+	var slots []*slot
+	for _, o := range d.sortedMachines() {
+		if o != m && o.ready(now, d.settings.fresh()) {
+			slots = append(slots, &slot{offer{o.kind, o.zone, o.spot}, o.typ, o.typ.Room.Minus(d.books.Machine(o.id))})
+		}
+	}
+	for _, a := range m.sortedAttempts() {
+		counts := a.job.zoneCounts()
+		counts[m.zone]--
+		s := d.bestSlot(&demand{job: a.job, counts: counts, n: 1}, slots)
+		if s == nil {
+			return false
+		}
+		s.free = s.free.Minus(a.job.spec.Room)
+	}
+	return len(d.shortage(slots, now)) == 0
+}
+
+func (d *dispatcher) sortedMachines() []*machine {
+	out := make([]*machine, 0, len(d.machines))
+	for _, m := range d.machines {
+		out = append(out, m)
+	}
+	sortMachines(out)
+	return out
+}
+
+func sortMachines(ms []*machine) {
+	sort.Slice(ms, func(a, b int) bool { return ms[a].id < ms[b].id })
+}
+
+// drain has nothing more placed on a machine and moves its tasks: services
+// restart elsewhere, others may finish unless the machine is being taken.
+func (d *dispatcher) drain(m *machine, reason string) {
+	if m.draining != "" || m.returning {
+		return
+	}
+	m.draining = reason
+	d.log.Info("drain", "machine", m.id, "type", m.kind, "spot", m.spot, "reason", reason, "tasks", len(m.attempts))
+	now := time.Now()
+	for _, a := range m.sortedAttempts() {
+		s := &a.job.spec
+		switch {
+		case s.Service:
+			d.stop(a, 0)
+		case m.noticeAt.IsZero():
+		case s.CheckpointS > 0:
+			d.stop(a, s.SaveS)
+		case !a.seen || a.state == Pulling || seconds(s.EstimateS)-now.Sub(a.started) > m.noticeAt.Sub(now):
+			d.stop(a, 0)
+		}
+	}
+	d.stopSeen(m)
+	d.place = true
+}
+
+// handleList takes in what the cloud lists. Absence from a list proves
+// nothing; a machine is only let go once its lease has surely ended too.
+func (d *dispatcher) handleList(machines []Listed) {
+	now := time.Now()
+	d.listed = true
+	seen := make(map[int]bool, len(machines))
+	for _, l := range machines {
+		seen[l.Machine] = true
+		m, known := d.machines[l.Machine]
+		if !known {
+			if d.goneBefore[l.Machine] {
+				continue
+			}
+			m = d.machine(l.Machine)
+			m.born = now.Add(-seconds(l.AgeS))
+			d.log.Info("unexpected machine", "machine", l.Machine, "type", l.Type, "zone", l.Zone, "spot", l.Spot)
+		}
+		if m.kind == "" {
+			m.kind, m.zone, m.spot, m.typ = l.Type, l.Zone, l.Spot, d.types[l.Type]
+		}
+		if m.addr == "" {
+			m.addr = l.Addr
+		}
+		m.listedAt = now
+		m.failed = l.State == Failed
+	}
+	for _, m := range d.sortedMachines() {
+		silent := now.Sub(m.lastBeat) > d.settings.Lease && now.Sub(m.born) > d.settings.Lease+4*d.settings.ListLag
+		if !seen[m.id] && !m.returning && silent && now.Sub(m.listedAt) > 4*d.settings.ListLag && now.After(d.emptyBy(m)) {
+			d.gone(m.id, "no longer listed")
+		}
+	}
+}
+
+// gone forgets a machine that the cloud has surely taken.
+func (d *dispatcher) gone(id int, why string) {
+	m := d.machines[id]
+	if m == nil {
+		return
+	}
+	for _, a := range m.sortedAttempts() {
+		d.free(a, "its machine is gone")
+	}
+	delete(d.machines, id)
+	d.mark(storage.MachineKey(id), func() any { return nil })
+	d.log.Info("machine gone", "machine", id, "why", why)
+	d.place = true
+}
+
+func (d *dispatcher) handleHired(msg hiredMsg) {
+	now := time.Now()
+	for _, id := range msg.machines {
+		m, known := d.machines[id]
+		if !known {
+			if d.goneBefore[id] {
+				continue
+			}
+			m = d.machine(id)
+			m.born, m.listedAt = now, now
+		}
+		if m.kind == "" {
+			m.kind, m.zone, m.spot, m.typ = msg.hire.Type, msg.hire.Zone, msg.hire.Spot, d.types[msg.hire.Type]
+		}
+	}
+	d.place = true
+}
+
+// giveBack has machines returned, once it is durable that they will be. The
+// cloud may carry out a deletion late, so there is no way back from here.
+func (d *dispatcher) giveBack(ids []int) {
+	if len(ids) == 0 {
+		return
+	}
+	for _, id := range ids {
+		if m := d.machines[id]; !m.returning {
+			d.log.Info("return", "machine", id, "type", m.kind, "spot", m.spot, "draining", m.draining, "failed", m.failed, "age", time.Since(m.born))
+			m.returning = true
+			d.markMachine(m)
+		}
+	}
+	d.onCommit(func(err error) {
+		if err == nil {
+			d.capacity.post(returnMsg{ids})
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/leadership.go
@@ -0,0 +1,243 @@
+package coordination
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"sagevale/internal/storage"
+)
+
+// The keys of leadership in the state service.
+const (
+	leadKey = "lead"
+	termKey = "term"
+)
+
+const (
+	// touchesPerLease is how often a leader renews its grant within its life.
+	touchesPerLease = 5
+	// callShare of the grant's life is the longest that one call may take.
+	callShare = 0.4
+	// watchLeases is how many grant lives one watch is held.
+	watchLeases = 4
+)
+
+// leadRecord is the value of the leadership key.
+type leadRecord struct {
+	Node string `json:"n"`
+	Run  string `json:"r"` // the process that holds it
+	Term uint64 `json:"t"`
+}
+
+// Role tells who leads, as this node knows it.
+type Role struct {
+	Leading bool
+	Leader  string // name of the leader, if known
+	Term    uint64
+	Guard   storage.Guard
+	Certain time.Time // until when this node's own grant surely holds
+	HoldOut time.Time // until when it may still renew workers' leases
+}
+
+// leadership is the actor that competes for the lead and keeps it. It tells
+// each change of role through tell, which must not block for long.
+type leadership struct {
+	svc      storage.StateService
+	settings *Settings
+	run      string // unlike any other process's
+	tell     func(Role)
+	resign   chan uint64 // terms to step down from
+	log      *slog.Logger
+}
+
+// Run competes and leads until ctx ends.
+func (l *leadership) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		item, err := l.get(ctx, leadKey)
+		switch {
+		case errors.Is(err, storage.ErrNotFound):
+			if err := l.contend(ctx); err != nil {
+				l.log.Debug("no lead taken", "err", err)
+				l.pause(ctx)
+			}
+		case err != nil:
+			l.tell(Role{})
+			l.pause(ctx)
+		default:
+			l.follow(ctx, item)
+		}
+	}
+}
+
+func (l *leadership) get(ctx context.Context, key string) (storage.Item, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.callTime())
+	defer cancel()
+	return l.svc.Get(ctx, key)
+}
+
+func (l *leadership) callTime() time.Duration { return scale(l.settings.Tuning.LeaderLease, callShare) }
+
+func (l *leadership) pause(ctx context.Context) {
+	wait(ctx, l.settings.Tuning.LeaderLease/(4*touchesPerLease))
+}
+
+// follow waits for the end of another's lead. A record of an earlier process
+// of this very node proves that process dead, so its grant is ended at once.
+// A record of our own is a take-over whose answer was lost.
+func (l *leadership) follow(ctx context.Context, item storage.Item) {
+	var rec leadRecord
+	if err := json.Unmarshal(item.Data, &rec); err != nil {
+		l.log.Error("unreadable leadership record", "err", err)
+		l.pause(ctx)
+		return
+	}
+	if rec.Node == l.settings.Node {
+		l.log.Info("ending the grant of an earlier run", "term", rec.Term)
+		if err := l.revoke(ctx, item.Lease); err != nil {
+			l.pause(ctx)
+		}
+		return
+	}
+	l.tell(Role{Leader: rec.Node, Term: rec.Term})
+	after := item.Version
+	for ctx.Err() == nil {
+		hold := watchLeases * l.settings.Tuning.LeaderLease
+		wctx, cancel := context.WithTimeout(ctx, hold+l.settings.Tuning.LeaderLease)
+		changed, rev, err := l.svc.Watch(wctx, leadKey, after, hold)
+		cancel()
+		if err != nil {
+			l.pause(ctx)
+			return
+		}
+		if changed {
+			return
+		}
+		after = rev
+	}
+}
+
+func (l *leadership) revoke(ctx context.Context, lease uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, l.callTime())
+	defer cancel()
+	err := l.svc.Revoke(ctx, lease)
+	if errors.Is(err, storage.ErrNotFound) {
+		return nil
+	}
+	return err
+}
+
+// contend tries to take the lead and, if it succeeds, leads until deposed.
+func (l *leadership) contend(ctx context.Context) error {
+	life := l.settings.Tuning.LeaderLease
+	sent := time.Now()
+	cctx, cancel := context.WithTimeout(ctx, l.callTime())
+	defer cancel()
+	lease, err := l.svc.Grant(cctx, life)
+	if err != nil {
+		return fmt.Errorf("grant: %w", err)
+	}
+	term := uint64(0)
+	termItem, err := l.svc.Get(cctx, termKey)
+	switch {
+	case errors.Is(err, storage.ErrNotFound):
+	case err != nil:
+		return fmt.Errorf("read term: %w", err)
+	default:
+		if err := json.Unmarshal(termItem.Data, &term); err != nil {
+			return fmt.Errorf("term record: %w", err)
+		}
+	}
+	term++
+	rec, err := json.Marshal(leadRecord{Node: l.settings.Node, Run: l.run, Term: term})
+	if err != nil {
+		return fmt.Errorf("encode lead: %w", err)
+	}
+	next, err := json.Marshal(term)
+	if err != nil {
+		return fmt.Errorf("encode term: %w", err)
+	}
+	version, err := l.svc.Txn(cctx,
+		[]storage.Guard{{Key: leadKey}, {Key: termKey, Version: termItem.Version}},
+		[]storage.Op{{Key: leadKey, Data: rec, Lease: lease}, {Key: termKey, Data: next}})
+	if err != nil {
+		// A take-over whose answer was lost, or that comes late, must not
+		// stand: ending the grant removes the key or bars the transaction.
+		if rerr := l.revoke(ctx, lease); rerr != nil {
+			l.log.Debug("grant not ended", "err", rerr)
+		}
+		return fmt.Errorf("take the lead: %w", err)
+	}
+	l.log.Info("took the lead", "term", term)
+	l.lead(ctx, lease, term, storage.Guard{Key: leadKey, Version: version}, sent)
+	return nil
+}
+
+// lead renews the grant until it is lost, given up, or without the state
+// service for longer than the hold allows.
+func (l *leadership) lead(ctx context.Context, lease, term uint64, guard storage.Guard, sent time.Time) {
+	life := l.settings.Tuning.LeaderLease
+	role := func() Role {
+		certain := sent.Add(scale(life, 1/driftBound))
+		return Role{
+			Leading: true, Leader: l.settings.Node, Term: term, Guard: guard,
+			Certain: certain, HoldOut: certain.Add(l.settings.hold()),
+		}
+	}
+	l.tell(role())
+	reason := "stopped"
+	for ctx.Err() == nil {
+		select {
+		case t := <-l.resign:
+			if t == term {
+				reason = "resigned"
+				if err := l.revoke(ctx, lease); err != nil {
+					l.log.Debug("grant not ended", "err", err)
+				}
+				l.deposed(term, reason)
+				return
+			}
+			continue
+		case <-ctx.Done():
+		case <-time.After(life / touchesPerLease):
+		}
+		at := time.Now()
+		tctx, cancel := context.WithTimeout(ctx, l.callTime())
+		err := l.svc.Touch(tctx, lease)
+		cancel()
+		if err == nil {
+			sent = at
+			l.tell(role())
+			continue
+		}
+		if errors.Is(err, storage.ErrNotFound) {
+			reason = "grant ended"
+			break
+		}
+		if time.Now().After(role().HoldOut) {
+			reason = "state service out of reach for too long"
+			break
+		}
+	}
+	l.deposed(term, reason)
+}
+
+func (l *leadership) deposed(term uint64, reason string) {
+	l.log.Info("lost the lead", "term", term, "reason", reason)
+	l.tell(Role{})
+}
+
+// wait sleeps for d, or until ctx ends; it returns whether d passed.
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/coordination/machine.go
@@ -0,0 +1,110 @@
+package coordination
+
+import (
+	"sort"
+	"time"
+
+	"sagevale/internal/storage"
+)
+
+// machine is one rented machine, as far as this term knows it. The dispatcher
+// owns it.
+type machine struct {
+	id   int
+	addr string
+	kind string
+	zone string
+	spot bool
+	typ  *storage.MachineType
+
+	session, seq, token uint64
+	lastBeat            time.Time    // the last newer report
+	answered            time.Time    // the last report that was answered 200
+	heard               bool         // has reported under this term's token
+	lapsed              uint64       // a session that has surely ended
+	ended               []TaskReport // exited tasks in the last report
+	strays              []TaskReport // live tasks without a booking
+	recorded            bool         // its record is durable or on its way
+
+	born      time.Time // first known of; the hire, if that was seen
+	listedAt  time.Time // last seen in the cloud's list
+	failed    bool
+	draining  string // why nothing more is placed here; "" if ready
+	returning bool   // the cloud has been or will be told to take it
+	noticeAt  time.Time
+
+	attempts map[TaskID]*attempt
+	tainted  map[TaskID]uint64 // ended attempts that must not be forgotten yet
+	images   map[string]image
+
+	failures  int // failed tasks of different jobs without a success between
+	lastFail  string
+	lapses    int // sessions lost while its reports came
+	pauseTill time.Time
+}
+
+// image is a cached image, as reckoned from what ran.
+type image struct {
+	gb   float64
+	used time.Time
+}
+
+func newMachine(id int, now time.Time) *machine {
+	return &machine{
+		id: id, born: now,
+		attempts: make(map[TaskID]*attempt),
+		tainted:  make(map[TaskID]uint64),
+		images:   make(map[string]image),
+	}
+}
+
+// stale tells whether a report is a late copy of one already seen.
+func (m *machine) stale(r *Report) bool {
+	return r.Session < m.session || r.Session == m.session && r.Seq <= m.seq
+}
+
+// ready tells whether tasks may be placed on the machine.
+func (m *machine) ready(now time.Time, fresh time.Duration) bool {
+	return m.heard && m.typ != nil && m.draining == "" && !m.returning && !m.failed &&
+		now.Sub(m.lastBeat) <= fresh && !now.Before(m.pauseTill)
+}
+
+// useImage notes that an image is in use and forgets the least recently used
+// ones beyond the cache.
+func (m *machine) useImage(name string, gb float64, now time.Time) {
+	if name == "" {
+		return
+	}
+	m.images[name] = image{gb, now}
+	if m.typ == nil {
+		return
+	}
+	sum := 0.0
+	for _, im := range m.images {
+		sum += im.gb
+	}
+	for sum > m.typ.CacheGB && len(m.images) > 1 {
+		oldest := ""
+		for n, im := range m.images {
+			if n != name && (oldest == "" || im.used.Before(m.images[oldest].used)) {
+				oldest = n
+			}
+		}
+		sum -= m.images[oldest].gb
+		delete(m.images, oldest)
+	}
+}
+
+func (m *machine) record() *storage.MachineRecord {
+	return &storage.MachineRecord{Addr: m.addr, Type: m.kind, Zone: m.zone, Spot: m.spot, Session: m.session, Returning: m.returning}
+}
+
+// sortedAttempts returns the attempts in a steady order.
+func (m *machine) sortedAttempts() []*attempt {
+	out := make([]*attempt, 0, len(m.attempts))
+	for _, a := range m.attempts {
+		out = append(out, a)
+	}
+	sort.Slice(out, func(x, y int) bool { return out[x].try < out[y].try })
+	return out
+}
--- /dev/null
+++ b/internal/coordination/node.go
@@ -0,0 +1,210 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sagevale/internal/storage"
+)
+
+// Deps are the outside parts that a node speaks to.
+type Deps struct {
+	State   storage.StateService
+	Cloud   Cloud
+	Workers WorkerLink
+	Peers   PeerLink
+	Log     *slog.Logger
+	Rand    *rand.Rand
+}
+
+// mailboxSize bounds what may wait for the dispatcher; beyond it users are
+// told to come back and workers to try the next node.
+const mailboxSize = 2048
+
+// Node is one controller: it follows or leads, and answers users and workers.
+type Node struct {
+	settings *Settings
+	deps     Deps
+	lead     *leadership
+	roles    chan Role
+	view     atomic.Pointer[view] // published by the node's own goroutine
+}
+
+// view is what request handlers need to know, replaced as a whole.
+type view struct {
+	role  Role
+	desk  *dispatcher // only while leading with the state loaded
+	since time.Time
+}
+
+// NewNode makes a node; Run starts it.
+func NewNode(s *Settings, deps Deps) *Node {
+	n := &Node{settings: s, deps: deps, roles: make(chan Role, 16)}
+	n.lead = &leadership{
+		svc: deps.State, settings: s, log: deps.Log,
+		run:    fmt.Sprintf("%016x", deps.Rand.Uint64()),
+		resign: make(chan uint64, 4),
+	}
+	n.view.Store(&view{})
+	return n
+}
+
+// Run serves until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	n.lead.tell = func(r Role) {
+		select {
+		case n.roles <- r:
+		case <-ctx.Done():
+		}
+	}
+	g.Go(func() error { n.lead.Run(ctx); return nil })
+	g.Go(func() error { n.follow(ctx); return nil })
+	return g.Wait()
+}
+
+// follow turns changes of role into terms begun and ended.
+func (n *Node) follow(ctx context.Context) {
+	var end context.CancelFunc
+	var desk *dispatcher
+	loaded := make(chan *dispatcher, 1)
+	stop := func() {
+		if end != nil {
+			end()
+			end, desk = nil, nil
+		}
+	}
+	defer stop()
+	for {
+		var role Role
+		select {
+		case <-ctx.Done():
+			return
+		case desk = <-loaded:
+			cur := n.view.Load()
+			if end == nil || !cur.role.Leading || cur.role.Term != desk.term {
+				desk = nil
+				continue
+			}
+			role = cur.role
+		case role = <-n.roles:
+		}
+		cur := n.view.Load()
+		if end != nil && (!role.Leading || role.Term != cur.role.Term) {
+			stop()
+		}
+		n.publish(role, desk)
+		if role.Leading && end == nil {
+			tctx, cancel := context.WithCancel(ctx)
+			end = cancel
+			go n.term(tctx, role, loaded)
+		}
+	}
+}
+
+func (n *Node) publish(role Role, desk *dispatcher) {
+	cur := n.view.Load()
+	since := cur.since
+	if cur.role.Leader != role.Leader || cur.role.Term != role.Term {
+		since = time.Now()
+	}
+	if desk != nil && desk.term != role.Term {
+		desk = nil
+	}
+	n.view.Store(&view{role: role, desk: desk, since: since})
+	if desk != nil {
+		desk.post(roleMsg{role})
+	}
+}
+
+// term loads the state under a fresh lead, then runs its actors.
+func (n *Node) term(ctx context.Context, role Role, loaded chan<- *dispatcher) {
+	started := time.Now()
+	log := n.deps.Log.With("term", role.Term)
+	journal, err := storage.OpenJournal(ctx, n.deps.State, n.settings.State, role.Guard)
+	if err != nil {
+		if ctx.Err() == nil {
+			log.Error("state not loaded", "err", err)
+			n.resign(role.Term)
+		}
+		return
+	}
+	d, err := newDispatcher(n.settings, n.deps, role, journal, n.lead.resign, log)
+	if err != nil {
+		log.Error("state not understood", "err", err)
+		n.resign(role.Term)
+		return
+	}
+	c := newCapacity(n.settings, n.deps, role.Term, d, journal, log)
+	d.capacity = c
+	log.Info("take-over", "jobs", len(d.jobs), "machines", len(d.machines), "attempts", d.books.Attempts(), "took", time.Since(started))
+	g, gctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return journal.Run(gctx) })
+	g.Go(func() error { return d.run(gctx) })
+	g.Go(func() error { return c.run(gctx) })
+	select {
+	case loaded <- d:
+	case <-ctx.Done():
+	}
+	err = g.Wait()
+	d.close()
+	if err != nil && !errors.Is(err, context.Canceled) {
+		log.Error("term ended", "err", err)
+		n.resign(role.Term)
+	}
+}
+
+// resign asks the leadership to end a term, unless it is ending anyway.
+func (n *Node) resign(term uint64) {
+	select {
+	case n.lead.resign <- term:
+	default:
+	}
+}
+
+// Able tells whether this node can take requests: it leads or knows a leader
+// or is looking for one.
+func (n *Node) Able() bool { return true }
+
+// User answers a user's request here, if this node leads, or by the leader.
+func (n *Node) User(ctx context.Context, req UserRequest) Answer {
+	v := n.view.Load()
+	switch {
+	case v.desk != nil:
+		return v.desk.user(ctx, req)
+	case v.role.Leader == "" || v.role.Leading:
+		return Unavailable(req.ID, "no leader yet")
+	}
+	a, err := n.deps.Peers.Forward(ctx, v.role.Leader, req)
+	if err != nil {
+		return Unavailable(req.ID, "leader out of reach")
+	}
+	return a
+}
+
+// Local answers a request that another node forwarded.
+func (n *Node) Local(ctx context.Context, req UserRequest) Answer {
+	if v := n.view.Load(); v.desk != nil {
+		return v.desk.user(ctx, req)
+	}
+	return Unavailable(req.ID, "not the leader")
+}
+
+// Beat answers a worker's report.
+func (n *Node) Beat(ctx context.Context, r *Report) BeatAnswer {
+	v := n.view.Load()
+	switch {
+	case v.desk != nil:
+		return v.desk.beat(ctx, r)
+	case v.role.Leading:
+		return BeatAnswer{Busy: true}
+	}
+	return BeatAnswer{Leader: v.role.Leader}
+}
--- /dev/null
+++ b/internal/coordination/ports.go
@@ -0,0 +1,211 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+
+	"sagevale/internal/storage"
+)
+
+// TaskID names a task of a job; the job is named without its prefix.
+type TaskID struct {
+	Job  string
+	Task int
+}
+
+// TaskState is what a worker reports of a task.
+type TaskState int
+
+// The states of a task on its machine.
+const (
+	Pulling   TaskState = iota
+	Gathering           // waiting for the other tasks of its gang
+	Running
+	Saving
+	Ended
+)
+
+// EndCause tells why a task has ended.
+type EndCause int
+
+// The causes of a task's end.
+const (
+	CauseNone EndCause = iota
+	CauseDone
+	CauseStopped
+	CauseError
+	CauseFull
+	CauseBusy
+	CauseUnknown
+	CausePeers // the others of its gang went missing
+)
+
+// TaskReport is one task in a worker's report.
+type TaskReport struct {
+	ID    TaskID
+	Try   uint64
+	State TaskState
+	Cause EndCause
+	Saved bool
+}
+
+// Report is a worker's report.
+type Report struct {
+	Machine int
+	Addr    string
+	Type    string
+	Zone    string
+	Spot    bool
+	Session uint64
+	Seq     uint64
+	Token   uint64
+	Notice  *float64 // seconds until the cloud takes the machine
+	Tasks   []TaskReport
+}
+
+// Verb is what an order tells a worker to do.
+type Verb int
+
+// The orders of the protocol.
+const (
+	Start Verb = iota
+	Stop
+	Forget
+)
+
+// Order is one command to a worker.
+type Order struct {
+	Verb   Verb
+	ID     TaskID
+	Try    uint64
+	GraceS float64
+}
+
+// BeatAnswer is the answer to a worker's report.
+type BeatAnswer struct {
+	Accepted bool
+	Token    uint64
+	Orders   []Order
+	Leader   string // where Accepted is false: the node to report to, if known
+	Busy     bool   // neither accepted nor sent elsewhere: try the next node
+}
+
+// Code classifies the answer to a user.
+type Code int
+
+// The answers to users.
+const (
+	CodeCreated     Code = iota // accepted just now
+	CodeOK                      // known, with its state
+	CodeNotFound                // never accepted
+	CodeUnfit                   // can never run
+	CodeUnavailable             // can't decide now
+	CodeBusy                    // too much asked
+)
+
+// JobState is the state that a user sees.
+type JobState int
+
+// The states of a job.
+const (
+	StatePending JobState = iota
+	StateRunning
+	StateDone
+	StateCancelled
+)
+
+// Answer is the answer to a user.
+type Answer struct {
+	Code    Code
+	ID      string
+	State   JobState
+	Done    int
+	Running int
+	Reason  string
+	RetryS  int
+}
+
+// Outcome tells what became of a direct command.
+type Outcome int
+
+// The outcomes of a direct command.
+const (
+	NotSent    Outcome = iota // surely not executed: no connection
+	Executed                  // 200
+	Rejected                  // 409 or 400: nothing executed
+	Unresolved                // no answer: may have been executed, or may be yet
+)
+
+// WorkerLink sends commands straight to workers.
+type WorkerLink interface {
+	Orders(ctx context.Context, addr string, token, session uint64, orders []Order) (Outcome, *Report)
+}
+
+// MachineState is a machine's state in the cloud's list.
+type MachineState int
+
+// The states of the cloud's list.
+const (
+	Booting MachineState = iota
+	Up
+	Failed
+)
+
+// Listed is a machine in the cloud's list.
+type Listed struct {
+	Machine int
+	Addr    string
+	Type    string
+	Zone    string
+	Spot    bool
+	State   MachineState
+	AgeS    float64
+}
+
+// Errors of the cloud.
+var (
+	// ErrNoCapacity: none available; the same request may be sent again.
+	ErrNoCapacity = errors.New("no capacity")
+	// ErrCloud: no usable answer; the request may be executed, or may be later.
+	ErrCloud = errors.New("cloud in trouble")
+	// ErrCloudRefused: surely not executed, for now.
+	ErrCloudRefused = errors.New("cloud refused for now")
+	// ErrMalformed: the cloud calls the request malformed.
+	ErrMalformed = errors.New("cloud calls the request malformed")
+)
+
+// Cloud rents machines.
+type Cloud interface {
+	Catalogue(ctx context.Context) ([]storage.MachineType, error)
+	Hire(ctx context.Context, name string, h storage.HireRecord) ([]int, error)
+	Return(ctx context.Context, machines []int) error
+	List(ctx context.Context, after int, limit int) (machines []Listed, more bool, err error)
+}
+
+// UserRequest is what a user asks, as it is forwarded between nodes.
+type UserRequest struct {
+	Op   UserOp
+	ID   string
+	Spec storage.Spec
+}
+
+// UserOp is a user's kind of request.
+type UserOp int
+
+// The users' requests.
+const (
+	OpSubmit UserOp = iota
+	OpPoll
+	OpCancel
+)
+
+// PeerLink forwards users' requests to another node.
+type PeerLink interface {
+	// Forward asks the named node; an error means that no answer came.
+	Forward(ctx context.Context, node string, req UserRequest) (Answer, error)
+}
+
+// Unavailable is the answer of a node that can't decide now.
+func Unavailable(id, reason string) Answer {
+	return Answer{Code: CodeUnavailable, ID: id, Reason: reason, RetryS: 1}
+}
--- /dev/null
+++ b/internal/coordination/settings.go
@@ -0,0 +1,132 @@
+// Package coordination decides: who leads, which job's task runs on which
+// machine, how large the fleet is, and what is drained and returned.
+package coordination
+
+import (
+	"time"
+
+	"sagevale/internal/storage"
+)
+
+// Peer is another controller node.
+type Peer struct {
+	Name string
+	Zone string
+	Addr string
+}
+
+// Team is a team's guarantee and limit; 0 means none.
+type Team struct {
+	Name      string
+	Guarantee storage.Room
+	Limit     storage.Room
+}
+
+// Objective restates an aim at start or finish for a class of jobs.
+type Objective struct {
+	Kind   string
+	Class  string
+	Within time.Duration
+	Share  float64
+	Times  float64
+}
+
+// Settings is what the platform and the operators set, checked.
+type Settings struct {
+	Node, Zone         string
+	Listen, PeerListen string
+	Peers              []Peer
+	CloudAddr          string
+	StateAddr          string
+	Zones              []string
+	ClockError         time.Duration
+	Teams              []Team
+	Objectives         []Objective
+	Report             time.Duration // a worker's report interval
+	Lease              time.Duration // a worker's lease
+	Cancel             time.Duration // how long a cancelled job's tasks may stay
+	State              storage.Limits
+	CloudRPS           float64
+	ListLag            time.Duration
+	CPUShare           float64
+	MemoryMB           float64
+	Sockets            int
+	Tuning             Tuning
+}
+
+// Tuning holds the operators' own settings.
+type Tuning struct {
+	UpWindow    time.Duration // pressure must hold this long before growth
+	DownWindow  time.Duration // healthy time before a machine is returned
+	Cooldown    time.Duration // after a return
+	GrowStep    int           // machines per growth step
+	LeaderLease time.Duration // life of the leadership grant
+	Reserve     float64       // standard deviations of arrivals to keep room for
+}
+
+// Ratios of the tuning defaults to the settings' figures.
+const (
+	upPerReport     = 0.5 // DESIGN starts at 10 s
+	downPerLease    = 2.5
+	coolPerLease    = 1.0
+	leaderPerLease  = 0.2
+	growStepDefault = 4
+	reserveDefault  = 1.0
+
+	// driftBound covers the workers' and our own steady clocks.
+	driftBound = 1.002
+	// holdShare of cancel_s - lease_s is how long past its own grant a leader
+	// without the state service goes on renewing its workers' leases.
+	holdShare = 0.9
+	// freshIntervals of reports make a machine's state fresh (DESIGN: three).
+	freshIntervals = 3
+)
+
+// DefaultTuning derives the operators' defaults from the platform's figures.
+func (s *Settings) DefaultTuning() Tuning {
+	return Tuning{
+		UpWindow:    scale(s.Report, upPerReport),
+		DownWindow:  scale(s.Lease, downPerLease),
+		Cooldown:    scale(s.Lease, coolPerLease),
+		GrowStep:    growStepDefault,
+		LeaderLease: scale(s.Lease, leaderPerLease),
+		Reserve:     reserveDefault,
+	}
+}
+
+func scale(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// hold is how long after the end of its own grant a leader may still renew
+// the leases of workers: a successor that acknowledges a cancel the moment the
+// grant ends must see the tasks gone within cancel_s, even where the workers
+// hear only the old leader.
+func (s *Settings) hold() time.Duration {
+	return max(0, scale(s.Cancel-s.Lease, holdShare))
+}
+
+// leaseBound is how long after an answered report a silent worker's tasks may
+// still be there.
+func (s *Settings) leaseBound() time.Duration {
+	return scale(s.Lease, driftBound) + s.Report/10
+}
+
+// strangerBound is the same for a worker that this term hasn't heard of,
+// counted from the take-over: an earlier leader may have renewed its lease
+// until the end of its hold.
+func (s *Settings) strangerBound() time.Duration {
+	return scale(s.hold(), driftBound) + s.leaseBound()
+}
+
+// fresh is how long a machine's last report counts.
+func (s *Settings) fresh() time.Duration { return freshIntervals * s.Report }
+
+func (s *Settings) team(name string) *Team {
+	for i := range s.Teams {
+		if s.Teams[i].Name == name {
+			return &s.Teams[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/users.go
@@ -0,0 +1,246 @@
+package coordination
+
+import (
+	"fmt"
+	"time"
+
+	"sagevale/internal/storage"
+)
+
+// waiter is a user whose answer hangs on a commit.
+type waiter struct {
+	id    string
+	reply chan Answer
+	told  bool
+}
+
+func (w *waiter) tell(a Answer) {
+	if !w.told {
+		w.told = true
+		w.reply <- a
+	}
+}
+
+// whenDurable answers a user once all that is dirty now is durable. A user
+// whose commit takes too long is told to come back: see failWaiting.
+func (d *dispatcher) whenDurable(id string, reply chan Answer, then func() Answer) {
+	w := &waiter{id: id, reply: reply}
+	d.waiters = append(d.waiters, w)
+	d.onCommit(func(err error) {
+		if err != nil {
+			w.tell(Unavailable(id, "not recorded"))
+			return
+		}
+		a := then()
+		w.tell(a)
+	})
+}
+
+// failWaiting answers all who wait for a commit, at once.
+func (d *dispatcher) failWaiting(a Answer) {
+	for _, w := range d.waiters {
+		a.ID = w.id
+		w.tell(a)
+	}
+	d.waiters = d.waiters[:0]
+}
+
+// stalled tells whether the commit under way takes too long to let others
+// wait behind it.
+func (d *dispatcher) stalled(now time.Time) bool {
+	return !d.commitAt.IsZero() && now.Sub(d.commitAt) > scale(d.settings.Report, stallPerReport)
+}
+
+func (d *dispatcher) handleUser(m userMsg) {
+	now := time.Now()
+	j := d.jobs[m.req.ID]
+	if j != nil && j.settled {
+		m.reply <- j.answer(CodeOK)
+		return
+	}
+	// Anything that isn't final may be outdated by a successor.
+	if !d.certain(now) {
+		m.reply <- Unavailable(m.req.ID, "leadership not certain")
+		return
+	}
+	switch m.req.Op {
+	case OpSubmit:
+		d.submit(m, j, now)
+	case OpPoll:
+		d.poll(m, j)
+	case OpCancel:
+		d.cancel(m, j, now)
+	default:
+		m.reply <- Unavailable(m.req.ID, "unknown request")
+	}
+}
+
+func (d *dispatcher) poll(m userMsg, j *job) {
+	switch {
+	case j == nil:
+		m.reply <- Answer{Code: CodeNotFound, ID: m.req.ID, Reason: "no such job"}
+	case !j.known:
+		m.reply <- Unavailable(m.req.ID, "acceptance not yet recorded")
+	default:
+		m.reply <- j.answer(CodeOK)
+	}
+}
+
+func (d *dispatcher) submit(m userMsg, j *job, now time.Time) {
+	if j != nil && j.known {
+		m.reply <- j.answer(CodeOK)
+		return
+	}
+	if d.stalled(now) {
+		m.reply <- Unavailable(m.req.ID, "state service slow or out of reach")
+		return
+	}
+	if j == nil {
+		if len(d.types) == 0 {
+			m.reply <- Unavailable(m.req.ID, "machine types not yet known")
+			return
+		}
+		spec := m.req.Spec
+		if reason := d.unfit(&spec); reason != "" {
+			m.reply <- Answer{Code: CodeUnfit, ID: spec.ID, Reason: reason}
+			return
+		}
+		if d.openTasks+spec.Tasks > d.settings.maxTasks() {
+			m.reply <- Answer{Code: CodeBusy, ID: spec.ID, Reason: "too many tasks are waiting", RetryS: int(d.settings.Lease.Seconds())}
+			return
+		}
+		j = newJob(spec, now)
+		d.jobs[spec.ID], d.open[spec.ID] = j, j
+		d.openTasks += spec.Tasks
+		d.arrival(j, now)
+		d.markJob(j)
+		d.place = true
+	}
+	d.whenDurable(j.spec.ID, m.reply, func() Answer {
+		j.known = true
+		return Answer{Code: CodeCreated, ID: j.spec.ID, State: StatePending}
+	})
+	// Others may wait for the same commit; the job is known however the
+	// first of them fares.
+	d.onCommit(func(err error) {
+		if err == nil {
+			j.known = true
+		}
+	})
+}
+
+// unfit tells why a job can never run.
+func (d *dispatcher) unfit(s *storage.Spec) string {
+	team := d.settings.team(s.Team)
+	if team == nil {
+		return fmt.Sprintf("unknown team %q", s.Team)
+	}
+	if len(d.fitting(s)) == 0 {
+		return "a task fits no allowed machine type"
+	}
+	need := s.Room
+	if s.Service || s.Gang {
+		need = need.Times(s.Tasks)
+	}
+	if !storage.Within(need, team.Limit) {
+		return "the job needs more than its team's limit"
+	}
+	return ""
+}
+
+// fitting returns the names of the allowed machine types that hold a task.
+func (d *dispatcher) fitting(s *storage.Spec) []string {
+	var out []string
+	for _, name := range d.typeNames {
+		t := d.types[name]
+		if s.Room.Fits(t.Room) && allowed(s.Types, name) && (s.Zone == "" || allowed(t.Zones, s.Zone)) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// allowed tells whether name is in list; an empty list allows all.
+func allowed(list []string, name string) bool {
+	if len(list) == 0 {
+		return true
+	}
+	for _, s := range list {
+		if s == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *dispatcher) cancel(m userMsg, j *job, now time.Time) {
+	switch {
+	case j == nil:
+		m.reply <- Answer{Code: CodeNotFound, ID: m.req.ID, Reason: "no such job"}
+		return
+	case !j.known, d.stalled(now):
+		m.reply <- Unavailable(m.req.ID, "state service slow or out of reach")
+		return
+	case j.phase == storage.Open:
+		j.phase = storage.Cancelled
+		d.log.Debug("cancel", "job", j.spec.ID, "attempts", len(j.attempts))
+		d.markJob(j)
+		d.onCommit(func(err error) {
+			if err != nil {
+				return
+			}
+			j.settled = true
+			d.stopAll(j)
+			d.orderStops(j)
+			d.retire(j)
+		})
+	}
+	d.whenDurable(j.spec.ID, m.reply, func() Answer { return j.answer(CodeOK) })
+}
+
+// finish makes a job done whose tasks have all completed.
+func (d *dispatcher) finish(j *job) {
+	if j.phase != storage.Open || j.done < j.spec.Tasks || j.spec.Service {
+		return
+	}
+	j.phase = storage.Done
+	d.markJob(j)
+	d.onCommit(func(err error) {
+		if err == nil {
+			j.settled = true
+			d.retire(j)
+		}
+	})
+}
+
+// retire lets go of a final job's tasks once none of them can be anywhere.
+func (d *dispatcher) retire(j *job) {
+	if !j.settled || len(j.attempts) > 0 || j.tasks == nil {
+		return
+	}
+	d.openTasks -= len(j.tasks)
+	for p := 0; p*storage.PageTasks < len(j.tasks); p++ {
+		d.mark(storage.PageKey(j.spec.ID, p), func() any { return nil })
+	}
+	j.tasks, j.waiting = nil, 0
+	delete(d.open, j.spec.ID)
+	d.markJob(j)
+}
+
+// stopAll has every attempt of a job stopped at once.
+func (d *dispatcher) stopAll(j *job) {
+	for _, a := range j.attempts {
+		d.stop(a, 0)
+	}
+}
+
+// bytesPerTask is what a waiting task may cost in memory, with its share of
+// records; half of the quota may go to tasks.
+const (
+	bytesPerTask = 256
+	taskShare    = 0.5
+)
+
+func (s *Settings) maxTasks() int {
+	return int(s.MemoryMB * (1 << 20) * taskShare / bytesPerTask)
+}
--- /dev/null
+++ b/internal/protocol/protocol_test.go
@@ -0,0 +1,156 @@
+package protocol
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const goodSettings = `
+host_name = "n0"
+zone = "a"
+serve_on = "10.0.0.1:8080"
+peer_listen = "10.0.0.1:8081"
+surprise = 3
+[[seeds]]
+host_name = "n1"
+zone = "b"
+addr = "10.0.0.2:8081"
+[endpoints]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[params]
+size = 2
+zones = ["a", "b"]
+clock_error_ms = 5.0
+[[params.teams]]
+name = "team"
+gpus = 2.0
+gpus_max = 8.0
+[params.workers]
+report_s = 3.0
+lease_s = 22.0
+cancel_s = 52.0
+[params.state]
+rps = 100.0
+write_rps = 40.0
+value_kb = 8.0
+txn_ops = 32
+[params.cloud]
+rps = 6.0
+list_lag_s = 4.0
+[params.quota]
+cpu_share = 0.07
+ram_mb = 98.0
+sockets = 1000
+`
+
+func TestSettingsThatAreRightAreTakenAndUnknownFieldsIgnored(t *testing.T) {
+	s, err := ParseSettings("s.toml", []byte(goodSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Lease != 22*time.Second || s.Teams[0].Limit.GPUs != 8 || s.State.ValueBytes != 8192 {
+		t.Fatalf("misread: %+v", s)
+	}
+}
+
+func TestWrongSettingsNameFileAndFieldInOneLine(t *testing.T) {
+	for _, tc := range []struct{ from, to, field string }{
+		{`zone = "a"`, ``, "zone"},
+		{`serve_on = "10.0.0.1:8080"`, `serve_on = "nowhere"`, "serve_on"},
+		{`lease_s = 22.0`, `lease_s = "long"`, "lease_s"},
+		{`lease_s = 22.0`, `lease_s = -1.0`, "params.workers.lease_s"},
+		{`lease_s = 22.0`, `lease_s = nan`, "params.workers.lease_s"},
+		{`lease_s = 22.0`, `lease_s = 2.0`, "params.workers.lease_s"},
+		{`txn_ops = 32`, `txn_ops = 0`, "params.state.txn_ops"},
+		{`name = "team"`, ``, "params.teams[0].name"},
+		{`rps = 6.0`, ``, "params.cloud.rps"},
+		{`addr = "10.0.0.2:8081"`, `addr = "10.0.0.2"`, "seeds[0].addr"},
+		{`[params.quota]`, `[params.quota`, ""},
+	} {
+		raw := strings.Replace(goodSettings, tc.from, tc.to, 1)
+		if raw == goodSettings {
+			t.Fatalf("%q isn't in the settings", tc.from)
+		}
+		_, err := ParseSettings("s.toml", []byte(raw))
+		if err == nil {
+			t.Errorf("%q was taken", tc.to)
+			continue
+		}
+		if msg := err.Error(); !strings.HasPrefix(msg, "s.toml: ") || !strings.Contains(msg, tc.field) || strings.Contains(msg, "\n") {
+			t.Errorf("%q: %q doesn't name %q in one line", tc.to, msg, tc.field)
+		}
+	}
+}
+
+func TestPropertiesAreCheckedAndUnknownOnesRefused(t *testing.T) {
+	s, err := ParseSettings("s.toml", []byte(goodSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := parseProperties("p", []byte("# ours\nfleet.cooldown = 7s\nfleet.grow.step: 2\n"), s); err != nil {
+		t.Fatal(err)
+	}
+	if s.Tuning.Cooldown != 7*time.Second || s.Tuning.GrowStep != 2 {
+		t.Fatalf("not applied: %+v", s.Tuning)
+	}
+	for _, bad := range []string{"fleet.colour = red", "fleet.cooldown = soon", "fleet.grow.step = 5", "leader.lease = 1h", "fleet.down.window = 1ms"} {
+		fresh := *s
+		if err := parseProperties("p", []byte(bad), &fresh); err == nil || !strings.Contains(err.Error(), strings.Fields(bad)[0]) {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+}
+
+const goodJob = `{"Id":"job-000412","Bracket":"train","Owner":"vision","Shape":"sweep","Urgency":"high","Chores":16,
+"Cpus":8.0,"Gpus":1.0,"MemoryGb":64.0,"Kit":"img-07","ImageGb":6.2,"Breeds":["g8"],"Pasture":null,"SamePlace":true,
+"Scatter":false,"Loaner":true,"ExpectedS":240.0,"BookmarkS":30.0,"StowS":4.0,"DueS":900.0,"Novel":{}}`
+
+func TestSubmissionsAreChecked(t *testing.T) {
+	spec, err := ParseSubmission([]byte(goodJob))
+	if err != nil || spec.ID != "000412" || spec.Tasks != 16 || !spec.SameZone || spec.DeadlineS != 900 {
+		t.Fatalf("%+v, %v", spec, err)
+	}
+	for _, tc := range []struct{ from, to string }{
+		{goodJob, `[]`}, {goodJob, `nonsense`}, {goodJob, ``}, {goodJob, `{}`}, {goodJob, goodJob + "x"},
+		{`"job-000412"`, `"task-1"`}, {`"job-000412"`, `"job-../1"`}, {`"job-000412"`, `7`},
+		{`"Chores":16`, `"Chores":0`}, {`"Chores":16`, `"Chores":100001`}, {`"Chores":16`, `"Chores":1.5`},
+		{`"Cpus":8.0`, `"Cpus":-1`}, {`"Cpus":8.0`, `"Cpus":"8"`}, {`"Cpus":8.0`, `"Cpus":1e999`}, {`"Cpus":8.0`, `"Cpus":null`},
+		{`"Shape":"sweep"`, `"Shape":"heap"`}, {`"Urgency":"high"`, `"Urgency":"higher"`},
+		{`"Breeds":["g8"]`, `"Breeds":"g8"`}, {`"Loaner":true`, `"Loaner":1`}, {`"Owner":"vision",`, ``}, {`"DueS":900.0`, `"DueS":-1`},
+	} {
+		raw := strings.Replace(goodJob, tc.from, tc.to, 1)
+		if _, err := ParseSubmission([]byte(raw)); err == nil {
+			t.Errorf("%q was taken", tc.to)
+		}
+	}
+}
+
+// A task that is overlooked in a report would seem to be gone.
+func TestAReportThatIsNotUnderstoodInFullIsRefused(t *testing.T) {
+	good := `{"Mount":"host-000231","Addr":"10.1.0.232:9000","Breed":"g8","Pasture":"a","Loaner":true,"Ride":1,"Tally":88,
+"Baton":41,"WarningS":null,"Chores":[{"Chore":"job-000412/3","Try":2,"Standing":"running"}]}`
+	r, err := ParseReport([]byte(good))
+	if err != nil || r.Machine != 231 || len(r.Tasks) != 1 || r.Tasks[0].ID.Task != 3 {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	for _, bad := range []string{"job-000412/x", "running!", "host-231", `"Ride":0`, `"Tally":-1`} {
+		raw := good
+		switch bad {
+		case "running!":
+			raw = strings.Replace(good, "running", bad, 1)
+		case "host-231":
+			raw = strings.Replace(good, "host-000231", bad, 1)
+		case `"Ride":0`:
+			raw = strings.Replace(good, `"Ride":1`, bad, 1)
+		case `"Tally":-1`:
+			raw = strings.Replace(good, `"Tally":88`, bad, 1)
+		default:
+			raw = strings.Replace(good, "job-000412/3", bad, 1)
+		}
+		if _, err := ParseReport([]byte(raw)); err == nil {
+			t.Errorf("%q was taken", bad)
+		}
+	}
+}
--- /dev/null
+++ b/internal/storage/journal.go
@@ -0,0 +1,449 @@
+package storage
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sort"
+	"strings"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// The journal keeps the records in numbered chunks. A commit writes the
+// latest state of the changed entities into a new chunk; on reading, the
+// later record of an entity wins. Old chunks are cleaned oldest first: what
+// still lives in them is written again with a commit that deletes them.
+
+const (
+	chunkPrefix = "log/"
+	// valueShare of the value limit is used, the rest is left for framing.
+	valueShare = 0.9
+	// changeShare of the change budget is the journal's.
+	changeShare = 0.8
+	// txnBytes bounds one transaction, under the protocol's 64 KiB.
+	txnBytes = 56 << 10
+	// cleanFactor: chunks are cleaned when there are more than this many times
+	// what the living records need, plus cleanSlack.
+	cleanFactor = 2
+	cleanSlack  = 24
+	// retryPause is how long the journal waits after a refused request.
+	retryPause = 100 * time.Millisecond
+)
+
+// ErrDeposed says that the leadership key has changed hands.
+var ErrDeposed = errors.New("leadership has moved on")
+
+// Batch is a set of records that become durable together, and what to do
+// then. Ack is called from the journal's goroutine and must not block.
+type Batch struct {
+	Records []Record
+	Ack     func(error)
+}
+
+type entity struct {
+	chunk uint64
+	data  json.RawMessage
+}
+
+type chunkInfo struct {
+	seq  uint64
+	keys []string
+}
+
+// Journal is the actor that writes records under a leader's term.
+type Journal struct {
+	svc     StateService
+	limits  Limits
+	lead    Guard
+	limiter *rate.Limiter
+	in      chan Batch
+
+	entities  map[string]entity
+	liveBytes int
+	chunks    []chunkInfo
+	next      uint64
+	last      uint64 // version of chunk next-1, 0 if unknown
+}
+
+// OpenJournal reads all chunks; lead is the leadership key with the version
+// that every write is guarded by.
+func OpenJournal(ctx context.Context, svc StateService, limits Limits, lead Guard) (*Journal, error) {
+	j := &Journal{
+		svc: svc, limits: limits, lead: lead,
+		limiter:  rate.NewLimiter(rate.Limit(limits.ChangesPerS*changeShare), max(limits.TxnOps, int(limits.ChangesPerS*changeShare))),
+		in:       make(chan Batch, 16),
+		entities: make(map[string]entity),
+		next:     1,
+	}
+	after := ""
+	for {
+		items, more, _, err := svc.List(ctx, chunkPrefix, after, 1000)
+		if errors.Is(err, ErrRefused) || errors.Is(err, ErrUnknown) {
+			if !sleep(ctx, retryPause) {
+				return nil, ctx.Err()
+			}
+			continue
+		}
+		if err != nil {
+			return nil, fmt.Errorf("read journal: %w", err)
+		}
+		for _, it := range items {
+			if err := j.readChunk(it); err != nil {
+				return nil, err
+			}
+			after = it.Key
+		}
+		if !more || len(items) == 0 {
+			return j, nil
+		}
+	}
+}
+
+func (j *Journal) readChunk(it Item) error {
+	var seq uint64
+	if _, err := fmt.Sscanf(strings.TrimPrefix(it.Key, chunkPrefix), "%d", &seq); err != nil {
+		return fmt.Errorf("chunk key %q: %w", it.Key, err)
+	}
+	var records []Record
+	if err := json.Unmarshal(it.Data, &records); err != nil {
+		return fmt.Errorf("chunk %q: %w", it.Key, err)
+	}
+	j.note(seq, records)
+	j.next, j.last = seq+1, it.Version
+	return nil
+}
+
+// note enters a chunk's records into the journal's index.
+func (j *Journal) note(seq uint64, records []Record) {
+	info := chunkInfo{seq: seq}
+	for _, r := range records {
+		if old, ok := j.entities[r.Key]; ok {
+			j.liveBytes -= len(old.data) + len(r.Key)
+		}
+		j.entities[r.Key] = entity{chunk: seq, data: r.Data}
+		j.liveBytes += len(r.Data) + len(r.Key)
+		info.keys = append(info.keys, r.Key)
+	}
+	j.chunks = append(j.chunks, info)
+}
+
+// Records returns the living records in key order.
+func (j *Journal) Records() []Record {
+	out := make([]Record, 0, len(j.entities))
+	for k, e := range j.entities {
+		if e.data != nil {
+			out = append(out, Record{Key: k, Data: e.data})
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Key < out[b].Key })
+	return out
+}
+
+// Append hands a batch to the journal. Each sender keeps at most one batch
+// unacknowledged, so this never blocks for long.
+func (j *Journal) Append(ctx context.Context, b Batch) {
+	select {
+	case j.in <- b:
+	case <-ctx.Done():
+	}
+}
+
+// Run commits batches until ctx ends or the leadership has moved on; then it
+// returns ErrDeposed.
+func (j *Journal) Run(ctx context.Context) error {
+	for {
+		var batches []Batch
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case b := <-j.in:
+			batches = append(batches, b)
+		}
+		batches = j.drain(batches)
+		err := j.commit(ctx, &batches)
+		for _, b := range batches {
+			if b.Ack != nil {
+				b.Ack(err)
+			}
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (j *Journal) drain(batches []Batch) []Batch {
+	for {
+		select {
+		case b := <-j.in:
+			batches = append(batches, b)
+		default:
+			return batches
+		}
+	}
+}
+
+// commit makes the batches durable, in as many transactions as they need.
+func (j *Journal) commit(ctx context.Context, batches *[]Batch) error {
+	if err := j.limiter.Wait(ctx); err != nil {
+		return err
+	}
+	*batches = j.drain(*batches)
+	pending := merge(*batches)
+	for len(pending) > 0 {
+		chunks, rest, err := j.cut(pending)
+		if err != nil {
+			return err
+		}
+		pending = rest
+		if err := j.write(ctx, chunks); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// merge keeps the last record of each entity, in order of first mention.
+func merge(batches []Batch) []Record {
+	at := make(map[string]int)
+	var out []Record
+	for _, b := range batches {
+		for _, r := range b.Records {
+			if i, ok := at[r.Key]; ok {
+				out[i] = r
+				continue
+			}
+			at[r.Key] = len(out)
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// chunk is one value to be written.
+type chunk struct {
+	records []Record
+	data    json.RawMessage
+}
+
+// cut takes from the records as many chunks as one transaction holds.
+func (j *Journal) cut(records []Record) (chunks []chunk, rest []Record, err error) {
+	limit := int(float64(j.limits.ValueBytes) * valueShare)
+	total, ops := 0, max(1, j.limits.TxnOps/2)
+	var cur []Record
+	size := 2
+	flush := func() error {
+		if len(cur) == 0 {
+			return nil
+		}
+		data, err := json.Marshal(cur)
+		if err != nil {
+			return fmt.Errorf("encode chunk: %w", err)
+		}
+		chunks = append(chunks, chunk{cur, data})
+		total += len(data)
+		cur, size = nil, 2
+		return nil
+	}
+	for i, r := range records {
+		n := len(r.Key) + len(r.Data) + 8
+		if size+n > limit && len(cur) > 0 {
+			if err := flush(); err != nil {
+				return nil, nil, err
+			}
+			if len(chunks) == ops || total+limit > txnBytes {
+				return chunks, records[i:], nil
+			}
+		}
+		cur = append(cur, r)
+		size += n
+	}
+	return chunks, nil, flush()
+}
+
+// write makes one transaction of the chunks, with cleaning where the budget
+// allows, and repeats it until its outcome is known.
+//
+// A transaction may be applied late or twice. Each one demands that its first
+// chunk doesn't exist and that the chunk before it does, in the version that
+// was written: so a repeat finds its own chunk, and one that comes after that
+// chunk has been cleaned away finds its predecessor gone.
+func (j *Journal) write(ctx context.Context, chunks []chunk) error {
+	chunks, cleaned := j.clean(chunks)
+	if n := len(chunks) + cleaned - 1; n > 0 {
+		if err := j.limiter.WaitN(ctx, min(n, j.limiter.Burst())); err != nil {
+			return err
+		}
+	}
+	guards := []Guard{j.lead, {Key: chunkKey(j.next)}}
+	if j.last != 0 {
+		guards = append(guards, Guard{Key: chunkKey(j.next - 1), Version: j.last})
+	}
+	var ops []Op
+	for i, c := range chunks {
+		ops = append(ops, Op{Key: chunkKey(j.next + uint64(i)), Data: c.data})
+	}
+	for _, c := range j.chunks[:cleaned] {
+		ops = append(ops, Op{Key: chunkKey(c.seq), Delete: true})
+	}
+	version, err := j.settle(ctx, guards, ops)
+	if err != nil {
+		return err
+	}
+	j.forget(cleaned)
+	for i, c := range chunks {
+		j.note(j.next+uint64(i), c.records)
+	}
+	j.next += uint64(len(chunks))
+	j.last = version
+	return nil
+}
+
+// clean adds to the chunks what still lives in the oldest ones and returns
+// how many of those may be deleted with them.
+func (j *Journal) clean(chunks []chunk) ([]chunk, int) {
+	perChunk := int(float64(j.limits.ValueBytes) * valueShare)
+	need := j.liveBytes/perChunk + 1
+	excess := len(j.chunks) - cleanFactor*need - cleanSlack
+	spare := int(j.limiter.Tokens()) / 2
+	if excess <= 0 || spare <= 0 {
+		return chunks, 0
+	}
+	writing := make(map[string]bool)
+	size := 0
+	for _, c := range chunks {
+		size += len(c.data)
+		for _, r := range c.records {
+			writing[r.Key] = true
+		}
+	}
+	most := min(excess, spare, j.limits.TxnOps-len(chunks)-2, len(j.chunks)-1)
+	last := &chunks[len(chunks)-1]
+	records, bytes := last.records, len(last.data)
+	n := 0
+	for ; n < most; n++ {
+		var alive []Record
+		add := 0
+		for _, k := range j.chunks[n].keys {
+			e, ok := j.entities[k]
+			if !ok || e.chunk != j.chunks[n].seq || e.data == nil || writing[k] {
+				continue
+			}
+			alive = append(alive, Record{k, e.data})
+			add += len(k) + len(e.data) + 8
+		}
+		if bytes+add > perChunk || size+add > txnBytes {
+			break
+		}
+		for _, r := range alive {
+			writing[r.Key] = true
+		}
+		records = append(records, alive...)
+		bytes += add
+		size += add
+	}
+	if n == 0 {
+		return j.cleanFull(chunks, size)
+	}
+	data, err := json.Marshal(records)
+	if err != nil {
+		return chunks, 0
+	}
+	*last = chunk{records, data}
+	return chunks, n
+}
+
+// cleanFull moves an oldest chunk that is too full to join another into a
+// chunk of its own.
+func (j *Journal) cleanFull(chunks []chunk, size int) ([]chunk, int) {
+	var alive []Record
+	for _, k := range j.chunks[0].keys {
+		if e, ok := j.entities[k]; ok && e.chunk == j.chunks[0].seq && e.data != nil && !has(chunks, k) {
+			alive = append(alive, Record{k, e.data})
+		}
+	}
+	data, err := json.Marshal(alive)
+	if err != nil || size+len(data) > txnBytes || len(data) > j.limits.ValueBytes || len(alive) == 0 {
+		return chunks, 0
+	}
+	return append(chunks, chunk{alive, data}), 1
+}
+
+func has(chunks []chunk, key string) bool {
+	for _, c := range chunks {
+		for _, r := range c.records {
+			if r.Key == key {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// forget drops the n oldest chunks from the index.
+func (j *Journal) forget(n int) {
+	for _, c := range j.chunks[:n] {
+		for _, k := range c.keys {
+			if e, ok := j.entities[k]; ok && e.chunk == c.seq {
+				j.liveBytes -= len(e.data) + len(k)
+				delete(j.entities, k)
+			}
+		}
+	}
+	j.chunks = append([]chunkInfo(nil), j.chunks[n:]...)
+}
+
+// settle repeats a transaction until it is known to be applied or barred.
+func (j *Journal) settle(ctx context.Context, guards []Guard, ops []Op) (uint64, error) {
+	unsure := false
+	for {
+		version, err := j.svc.Txn(ctx, guards, ops)
+		var conflict *ConflictError
+		switch {
+		case err == nil:
+			return version, nil
+		case errors.As(err, &conflict):
+			for _, k := range conflict.Failed {
+				if k == j.lead.Key {
+					return 0, ErrDeposed
+				}
+			}
+			if !unsure {
+				return 0, fmt.Errorf("journal chunk %s: %w (%v)", ops[0].Key, ErrDeposed, conflict.Failed)
+			}
+			item, err := j.svc.Get(ctx, ops[0].Key)
+			if err == nil {
+				return item.Version, nil
+			}
+			if errors.Is(err, ErrNotFound) {
+				return 0, fmt.Errorf("journal chunk %s: %w (%v)", ops[0].Key, ErrDeposed, conflict.Failed)
+			}
+		case errors.Is(err, ErrRefused):
+		case errors.Is(err, ErrUnknown):
+			unsure = true
+		default:
+			return 0, fmt.Errorf("journal commit: %w", err)
+		}
+		slog.Debug("journal retries", "chunk", ops[0].Key, "err", err)
+		if !sleep(ctx, retryPause) {
+			return 0, ctx.Err()
+		}
+	}
+}
+
+func chunkKey(seq uint64) string { return fmt.Sprintf("%s%012d", chunkPrefix, seq) }
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/storage/records.go
@@ -0,0 +1,223 @@
+// Package storage keeps what must outlive every controller: the records of
+// jobs, attempts, machines and hires, the journal that writes them to the
+// state service in group commits, and the books of room that follow from them.
+package storage
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+)
+
+// Priority orders jobs; a larger value goes first.
+type Priority int
+
+// The priorities of the users' interface.
+const (
+	BestEffort Priority = iota
+	Normal
+	High
+	Production
+)
+
+// Room is an amount of a machine's resources.
+type Room struct {
+	CPUs     float64 `json:"c,omitempty"`
+	GPUs     float64 `json:"g,omitempty"`
+	MemoryGB float64 `json:"m,omitempty"`
+}
+
+// roomSlack forgives the rounding of decimal sums.
+const roomSlack = 1e-6
+
+// Plus returns the sum of two amounts.
+func (r Room) Plus(o Room) Room {
+	return Room{r.CPUs + o.CPUs, r.GPUs + o.GPUs, r.MemoryGB + o.MemoryGB}
+}
+
+// Minus returns what is left of r without o.
+func (r Room) Minus(o Room) Room {
+	return Room{r.CPUs - o.CPUs, r.GPUs - o.GPUs, r.MemoryGB - o.MemoryGB}
+}
+
+// Times returns n times the amount.
+func (r Room) Times(n int) Room {
+	f := float64(n)
+	return Room{r.CPUs * f, r.GPUs * f, r.MemoryGB * f}
+}
+
+// Fits tells whether r fits into free.
+func (r Room) Fits(free Room) bool {
+	return r.CPUs <= free.CPUs+roomSlack && r.GPUs <= free.GPUs+roomSlack && r.MemoryGB <= free.MemoryGB+roomSlack
+}
+
+// Spec is a job as its user submitted it.
+type Spec struct {
+	ID          string   `json:"-"`
+	Class       string   `json:"b,omitempty"`
+	Team        string   `json:"o,omitempty"`
+	Service     bool     `json:"s,omitempty"`
+	Gang        bool     `json:"gg,omitempty"` // all tasks run together
+	Priority    Priority `json:"u,omitempty"`
+	Tasks       int      `json:"n"`
+	Room        Room     `json:"r"`
+	Types       []string `json:"t,omitempty"`
+	Zone        string   `json:"z,omitempty"`
+	SameZone    bool     `json:"sz,omitempty"`
+	Spread      bool     `json:"sp,omitempty"`
+	Spot        bool     `json:"l,omitempty"`
+	Image       string   `json:"i,omitempty"`
+	ImageGB     float64  `json:"ig,omitempty"`
+	EstimateS   float64  `json:"e,omitempty"`
+	CheckpointS float64  `json:"k,omitempty"`
+	SaveS       float64  `json:"ks,omitempty"`
+	DeadlineS   float64  `json:"d,omitempty"`
+}
+
+// Phase is the lasting part of a job's state.
+type Phase int
+
+// A job is open until it is done or cancelled; both are kept for good.
+const (
+	Open Phase = iota
+	Done
+	Cancelled
+)
+
+// JobRecord is the lasting record of a job. Final jobs keep no spec.
+type JobRecord struct {
+	Phase  Phase `json:"f,omitempty"`
+	Tasks  int   `json:"n"`
+	AtMS   int64 `json:"a,omitempty"`
+	Spec   *Spec `json:"s,omitempty"`
+	DoneOf int   `json:"d,omitempty"`
+}
+
+// PageTasks is how many tasks of a job share one page record. A full page
+// must stay well under the value limit of the state service.
+const PageTasks = 64
+
+// AttemptRecord is one attempt that may be on a machine.
+type AttemptRecord struct {
+	Task    int    `json:"t"`
+	Try     uint64 `json:"y"`
+	Machine int    `json:"m"`
+	Session uint64 `json:"r"`
+}
+
+// PageRecord holds the done tasks (as ranges) and the attempts of one page of
+// a job's tasks.
+type PageRecord struct {
+	Done     []int           `json:"d,omitempty"`
+	Attempts []AttemptRecord `json:"a,omitempty"`
+}
+
+// MachineRecord is what must be known of a machine that carries bookings or
+// is being returned.
+type MachineRecord struct {
+	Addr      string `json:"a,omitempty"`
+	Type      string `json:"t,omitempty"`
+	Zone      string `json:"z,omitempty"`
+	Spot      bool   `json:"l,omitempty"`
+	Session   uint64 `json:"r,omitempty"`
+	Returning bool   `json:"x,omitempty"`
+}
+
+// HireRecord is a rental request, recorded under its name before it is sent.
+type HireRecord struct {
+	Type  string `json:"t"`
+	Zone  string `json:"z"`
+	Spot  bool   `json:"l,omitempty"`
+	Count int    `json:"n"`
+}
+
+// FleetRecord is the desired size of the fleet and the term that set it.
+type FleetRecord struct {
+	Desired int    `json:"n"`
+	Term    uint64 `json:"t"`
+}
+
+// MachineType is one entry of the cloud's catalogue.
+type MachineType struct {
+	Name      string   `json:"n"`
+	Room      Room     `json:"r"`
+	CacheGB   float64  `json:"c,omitempty"`
+	FetchGBPS float64  `json:"f,omitempty"`
+	Price     float64  `json:"p"`
+	SpotPrice float64  `json:"sp,omitempty"`
+	BootS     float64  `json:"b,omitempty"`
+	Zones     []string `json:"z"`
+}
+
+// Record is one entity's latest lasting state. Nil data removes the entity.
+type Record struct {
+	Key  string
+	Data json.RawMessage
+}
+
+// NewRecord encodes data under key; nil data removes the entity.
+func NewRecord(key string, data any) (Record, error) {
+	if data == nil {
+		return Record{Key: key}, nil
+	}
+	raw, err := json.Marshal(data)
+	if err != nil {
+		return Record{}, fmt.Errorf("encode record %s: %w", key, err)
+	}
+	return Record{Key: key, Data: raw}, nil
+}
+
+// MarshalJSON writes a record as the compact pair [key, data].
+func (r Record) MarshalJSON() ([]byte, error) {
+	if r.Data == nil {
+		return json.Marshal([]string{r.Key})
+	}
+	return json.Marshal([]any{r.Key, r.Data})
+}
+
+// UnmarshalJSON reads the pair that MarshalJSON writes.
+func (r *Record) UnmarshalJSON(b []byte) error {
+	var pair []json.RawMessage
+	if err := json.Unmarshal(b, &pair); err != nil {
+		return err
+	}
+	if len(pair) == 0 || len(pair) > 2 {
+		return fmt.Errorf("a record has %d parts", len(pair))
+	}
+	if err := json.Unmarshal(pair[0], &r.Key); err != nil {
+		return err
+	}
+	r.Data = nil
+	if len(pair) == 2 {
+		r.Data = pair[1]
+	}
+	return nil
+}
+
+// Kinds of record, by the first letter of their keys.
+const (
+	KindJob       = 'j'
+	KindPage      = 'p'
+	KindMachine   = 'm'
+	KindHire      = 'h'
+	KindFleet     = 'f'
+	KindCatalogue = 'c'
+)
+
+// JobKey names a job's record.
+func JobKey(id string) string { return "j" + id }
+
+// PageKey names the record of one page of a job's tasks.
+func PageKey(id string, page int) string { return "p" + id + "/" + strconv.Itoa(page) }
+
+// MachineKey names a machine's record.
+func MachineKey(n int) string { return "m" + strconv.Itoa(n) }
+
+// HireKey names a hire's record.
+func HireKey(name string) string { return "h" + name }
+
+// FleetKey and CatalogueKey name the two single records.
+const (
+	FleetKey     = "f"
+	CatalogueKey = "c"
+)
--- /dev/null
+++ b/internal/transport/cloud.go
@@ -0,0 +1,109 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"sagevale/internal/coordination"
+	"sagevale/internal/protocol"
+	"sagevale/internal/storage"
+)
+
+// CloudClient rents machines.
+type CloudClient struct {
+	base string
+	c    *client
+}
+
+var _ coordination.Cloud = (*CloudClient)(nil)
+
+// NewCloudClient makes a client of the cloud at addr.
+func NewCloudClient(addr string) *CloudClient {
+	return &CloudClient{"http://" + addr, newClient(4, 8, time.Minute)}
+}
+
+func (c *CloudClient) send(ctx context.Context, method, path string, in, out any) error {
+	ex, sent, err := c.c.do(ctx, method, c.base+path, in)
+	switch {
+	case err != nil && sent:
+		return fmt.Errorf("%w: %w", coordination.ErrCloud, err)
+	case err != nil:
+		return fmt.Errorf("%w: %w", coordination.ErrCloudRefused, err)
+	}
+	switch ex.status {
+	case http.StatusOK:
+		if out == nil {
+			return nil
+		}
+		if err := decode(ex.body, out); err != nil {
+			return fmt.Errorf("%w: %w", coordination.ErrCloud, err)
+		}
+		return nil
+	case http.StatusBadRequest:
+		return fmt.Errorf("%w: %.200s", coordination.ErrMalformed, ex.body)
+	case http.StatusTooManyRequests:
+		return fmt.Errorf("%w: too many requests", coordination.ErrCloudRefused)
+	case http.StatusServiceUnavailable:
+		var r protocol.Refusal
+		if err := decode(ex.body, &r); err == nil && r.Error == noCapacity {
+			return coordination.ErrNoCapacity
+		}
+		return fmt.Errorf("%w: %.200s", coordination.ErrCloudRefused, ex.body)
+	}
+	return fmt.Errorf("%w: status %d", coordination.ErrCloud, ex.status)
+}
+
+// noCapacity is how the cloud refuses a hire.
+const noCapacity = "no capacity"
+
+// Catalogue reads the machine types.
+func (c *CloudClient) Catalogue(ctx context.Context) ([]storage.MachineType, error) {
+	var cat protocol.Catalogue
+	if err := c.send(ctx, http.MethodGet, "/catalog", nil, &cat); err != nil {
+		return nil, err
+	}
+	types := cat.MachineTypes()
+	if len(types) == 0 {
+		return nil, fmt.Errorf("%w: empty catalogue", coordination.ErrCloud)
+	}
+	return types, nil
+}
+
+// Hire rents machines under a request name.
+func (c *CloudClient) Hire(ctx context.Context, name string, h storage.HireRecord) ([]int, error) {
+	var names protocol.MachineNames
+	if err := c.send(ctx, http.MethodPost, "/rentals", protocol.NewRental(name, h), &names); err != nil {
+		return nil, err
+	}
+	ids, err := names.IDs()
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", coordination.ErrCloud, err)
+	}
+	return ids, nil
+}
+
+// Return has machines taken; once it succeeds, they are gone.
+func (c *CloudClient) Return(ctx context.Context, machines []int) error {
+	return c.send(ctx, http.MethodPost, "/rentals/delete", protocol.NewMachineNames(machines), nil)
+}
+
+// List reads a page of the machine list.
+func (c *CloudClient) List(ctx context.Context, after int, limit int) ([]coordination.Listed, bool, error) {
+	q := url.Values{"Page": {strconv.Itoa(limit)}}
+	if after > 0 {
+		q.Set("From", protocol.MachineName(after))
+	}
+	var l protocol.MachineList
+	if err := c.send(ctx, http.MethodGet, "/rentals?"+q.Encode(), nil, &l); err != nil {
+		return nil, false, err
+	}
+	machines, err := l.Listed()
+	if err != nil {
+		return nil, false, fmt.Errorf("%w: %w", coordination.ErrCloud, err)
+	}
+	return machines, l.More, nil
+}
--- /dev/null
+++ b/internal/transport/server.go
@@ -0,0 +1,223 @@
+package transport
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"sagevale/internal/coordination"
+	"sagevale/internal/protocol"
+)
+
+// How long the parties wait for an answer, by the protocol; the server's own
+// limits are shares of these.
+const (
+	submitPatience = 5 * time.Second
+	pollPatience   = 2 * time.Second
+	beatPatience   = 4 * time.Second
+	patienceShare  = 0.6
+)
+
+// Controller is what the server serves.
+type Controller interface {
+	User(ctx context.Context, req coordination.UserRequest) coordination.Answer
+	Beat(ctx context.Context, r *coordination.Report) coordination.BeatAnswer
+	Able() bool
+}
+
+// Server answers users and workers over HTTP.
+type Server struct {
+	node Controller
+	log  *slog.Logger
+	http *http.Server
+}
+
+// NewServer makes a server for a node.
+func NewServer(node Controller, log *slog.Logger) *Server {
+	s := &Server{node: node, log: log}
+	s.http = &http.Server{
+		Handler:           s,
+		ReadHeaderTimeout: submitPatience,
+		ReadTimeout:       2 * submitPatience,
+		IdleTimeout:       time.Minute,
+		MaxHeaderBytes:    16 << 10,
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	return s
+}
+
+// Serve answers on l until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { s.http.Close() })
+	defer stop()
+	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.log.Error("request panicked", "path", r.URL.Path, "panic", p)
+			refuse(w, http.StatusServiceUnavailable, "internal trouble", 1)
+		}
+	}()
+	path := r.URL.Path
+	switch {
+	case path == "/agent/beat":
+		if onlyMethod(w, r, http.MethodPost) {
+			s.beat(w, r)
+		}
+	case path == "/up":
+		if onlyMethod(w, r, http.MethodGet) {
+			s.up(w)
+		}
+	case path == "/v1/jobs":
+		if onlyMethod(w, r, http.MethodPost) {
+			s.submit(w, r)
+		}
+	case strings.HasPrefix(path, "/v1/jobs/"):
+		rest := strings.TrimPrefix(path, "/v1/jobs/")
+		if id, ok := strings.CutSuffix(rest, "/cancel"); ok {
+			if onlyMethod(w, r, http.MethodPost) {
+				s.about(w, r, coordination.OpCancel, id, submitPatience)
+			}
+			return
+		}
+		if onlyMethod(w, r, http.MethodGet) {
+			s.about(w, r, coordination.OpPoll, rest, pollPatience)
+		}
+	default:
+		refuse(w, http.StatusNotFound, "no such path", 0)
+	}
+}
+
+func onlyMethod(w http.ResponseWriter, r *http.Request, method string) bool {
+	if r.Method == method || method == http.MethodGet && r.Method == http.MethodHead {
+		return true
+	}
+	w.Header().Set("Allow", method)
+	refuse(w, http.StatusMethodNotAllowed, "method not allowed", 0)
+	return false
+}
+
+func (s *Server) up(w http.ResponseWriter) {
+	if !s.node.Able() {
+		refuse(w, http.StatusServiceUnavailable, "not able to take requests", 1)
+		return
+	}
+	reply(w, http.StatusOK, struct{}{})
+}
+
+// readBody reads a request's body within the protocol's limit.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, protocol.MaxBody+1))
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "body not readable", 0)
+		return nil, false
+	}
+	if len(body) > protocol.MaxBody {
+		w.Header().Set("Connection", "close")
+		refuse(w, http.StatusBadRequest, "body over 64 KiB", 0)
+		return nil, false
+	}
+	return body, true
+}
+
+func (s *Server) submit(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	spec, err := protocol.ParseSubmission(body)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error(), 0)
+		return
+	}
+	s.ask(w, r, coordination.UserRequest{Op: coordination.OpSubmit, ID: spec.ID, Spec: spec}, submitPatience)
+}
+
+func (s *Server) about(w http.ResponseWriter, r *http.Request, op coordination.UserOp, name string, patience time.Duration) {
+	id, ok := protocol.JobID(name)
+	if !ok {
+		refuse(w, http.StatusNotFound, "no such job", 0)
+		return
+	}
+	s.ask(w, r, coordination.UserRequest{Op: op, ID: id}, patience)
+}
+
+func (s *Server) ask(w http.ResponseWriter, r *http.Request, req coordination.UserRequest, patience time.Duration) {
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(float64(patience)*patienceShare))
+	defer cancel()
+	a := s.node.User(ctx, req)
+	switch a.Code {
+	case coordination.CodeCreated:
+		reply(w, http.StatusCreated, protocol.NewJobAnswer(a))
+	case coordination.CodeOK:
+		reply(w, http.StatusOK, protocol.NewJobAnswer(a))
+	case coordination.CodeNotFound:
+		refuse(w, http.StatusNotFound, a.Reason, 0)
+	case coordination.CodeUnfit:
+		refuse(w, http.StatusUnprocessableEntity, a.Reason, 0)
+	case coordination.CodeBusy:
+		refuse(w, http.StatusTooManyRequests, a.Reason, a.RetryS)
+	default:
+		refuse(w, http.StatusServiceUnavailable, a.Reason, a.RetryS)
+	}
+}
+
+func (s *Server) beat(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	report, err := protocol.ParseReport(body)
+	if err != nil {
+		s.log.Error("report not understood", "err", err)
+		refuse(w, http.StatusBadRequest, err.Error(), 0)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(float64(beatPatience)*patienceShare))
+	defer cancel()
+	a := s.node.Beat(ctx, report)
+	switch {
+	case a.Accepted:
+		reply(w, http.StatusOK, protocol.NewBeatAnswer(a))
+	case a.Busy:
+		refuse(w, http.StatusServiceUnavailable, "not able to take reports now", 1)
+	default:
+		reply(w, http.StatusMisdirectedRequest, protocol.Elsewhere{Leader: a.Leader, Error: "not the leader"})
+	}
+}
+
+// refuse answers with a reason and, where repeating makes sense, with when to
+// come back.
+func refuse(w http.ResponseWriter, status int, reason string, retryS int) {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		w.Header().Set("Retry-After", strconv.Itoa(max(1, retryS)))
+	}
+	reply(w, status, protocol.Refusal{Error: reason})
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	w.WriteHeader(status)
+	// A reader that has gone away is no concern of ours.
+	_, _ = w.Write(raw)
+}
--- /dev/null
+++ b/internal/transport/workers.go
@@ -0,0 +1,53 @@
+package transport
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"sagevale/internal/coordination"
+	"sagevale/internal/protocol"
+)
+
+// WorkerClient sends orders straight to workers.
+type WorkerClient struct {
+	c   *client
+	log *slog.Logger
+}
+
+var _ coordination.WorkerLink = (*WorkerClient)(nil)
+
+// NewWorkerClient makes a client that keeps one idle connection a worker.
+func NewWorkerClient(sockets int, log *slog.Logger) *WorkerClient {
+	return &WorkerClient{newClient(1, sockets/4, 30*time.Second), log}
+}
+
+// Orders sends orders and returns the worker's report after them.
+func (w *WorkerClient) Orders(ctx context.Context, addr string, token, session uint64, orders []coordination.Order) (coordination.Outcome, *coordination.Report) {
+	ex, sent, err := w.c.do(ctx, http.MethodPost, "http://"+addr+"/orders", protocol.NewDirectOrders(token, session, orders))
+	switch {
+	case err != nil && !sent:
+		return coordination.NotSent, nil
+	case err != nil:
+		w.log.Debug("direct orders unanswered", "addr", addr, "err", err)
+		return coordination.Unresolved, nil
+	}
+	report, err := protocol.ParseReport(ex.body)
+	switch ex.status {
+	case http.StatusOK:
+		if err != nil {
+			// Executed, but what stands there now can't be told.
+			w.log.Error("worker's answer not understood", "addr", addr, "err", err)
+			return coordination.Unresolved, nil
+		}
+		return coordination.Executed, report
+	case http.StatusConflict, http.StatusBadRequest:
+		if err != nil {
+			report = nil
+		}
+		return coordination.Rejected, report
+	}
+	w.log.Error("surprising answer of a worker", "addr", addr, "status", ex.status)
+	return coordination.Unresolved, nil
+}
