--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -92,6 +92,10 @@
 		}
 		booked = append(booked, d.book(j, task, m, now))
 	}
+	// The workers gather the tasks of one try.
+	for _, a := range booked {
+		a.try = d.nextTry
+	}
 	return booked
 }
 
