Relay by mail through the state service what reaches a cut-off follower

Cause: while two zones can't reach each other, workers beyond the cut hear only 421 naming a leader out of reach; their leases end and users there get 503.

--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -107,13 +107,13 @@
 	for ctx.Err() == nil {
 		hold := watchLeases * l.settings.Tuning.LeaderLease
 		wctx, cancel := context.WithTimeout(ctx, hold+l.settings.Tuning.LeaderLease)
-		changed, rev, err := l.svc.Watch(wctx, leadKey, after, hold)
+		changes, rev, err := l.svc.Watch(wctx, leadKey, after, hold)
 		cancel()
 		if err != nil {
 			l.pause(ctx)
 			return
 		}
-		if changed {
+		if len(changes) > 0 {
 			return
 		}
 		after = rev
--- /dev/null
+++ b/internal/coordination/mail.go
@@ -0,0 +1,364 @@
+package coordination
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"encoding/gob"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"sagevale/internal/storage"
+)
+
+// A follower that is cut off from a living leader, but not from the state
+// service, hands on what reaches it by mail: one key holds its latest batch of
+// users' requests and workers' reports, another the leader's answers. To the
+// leader it is but a slower way to arrive, so all its rules hold as they are:
+// reports may be late, and their answers count from when they are given.
+
+const (
+	askPrefix    = "mail/ask/"
+	answerPrefix = "mail/answer/"
+	// mailShare of the change budget is each mail writer's.
+	mailShare = 0.1
+	// gatherPerReport is how long a batch gathers, in report intervals.
+	gatherPerReport = 0.1
+	// mailBatch bounds the items of a batch, mailPieces its values.
+	mailBatch  = 48
+	mailPieces = 4
+	// mailPatience is how long the answers to a batch may take.
+	mailPatience = 2 * time.Second
+	// mailQueue bounds what waits for the next batch.
+	mailQueue = 128
+)
+
+// letter is one item of a batch.
+type letter struct {
+	User   *UserRequest
+	Report *Report
+}
+
+// mailReply is the answer to one letter; Done tells that there is one.
+type mailReply struct {
+	Done bool
+	User *Answer
+	Beat *BeatAnswer
+}
+
+// piece is one value of a batch that is split over several keys.
+type piece struct {
+	Run    uint64 `json:"r"`
+	Serial uint64 `json:"s"`
+	Of     int    `json:"n"`
+	Data   []byte `json:"d"`
+}
+
+// encodePieces compresses a batch into values under the limit, or returns nil
+// if it takes too many.
+func encodePieces(batch any, run, serial uint64, valueBytes int) ([]json.RawMessage, error) {
+	var buf bytes.Buffer
+	z, err := flate.NewWriter(&buf, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if err := gob.NewEncoder(z).Encode(batch); err != nil {
+		return nil, fmt.Errorf("encode mail: %w", err)
+	}
+	if err := z.Close(); err != nil {
+		return nil, fmt.Errorf("compress mail: %w", err)
+	}
+	raw := buf.Bytes()
+	room := valueBytes*2/3 - 64 // base64 takes a third more
+	n := (len(raw) + room - 1) / room
+	if n > mailPieces {
+		return nil, nil
+	}
+	var out []json.RawMessage
+	for i := 0; i < n; i++ {
+		p, err := json.Marshal(piece{run, serial, n, raw[i*room : min(len(raw), (i+1)*room)]})
+		if err != nil {
+			return nil, fmt.Errorf("encode mail: %w", err)
+		}
+		out = append(out, p)
+	}
+	return out, nil
+}
+
+// decodePieces reads a batch whose pieces are all there, in order.
+func decodePieces(pieces []piece, batch any) error {
+	var raw []byte
+	for _, p := range pieces {
+		raw = append(raw, p.Data...)
+	}
+	z := flate.NewReader(bytes.NewReader(raw))
+	defer z.Close()
+	if err := gob.NewDecoder(io.LimitReader(z, 4<<20)).Decode(batch); err != nil {
+		return fmt.Errorf("decode mail: %w", err)
+	}
+	return nil
+}
+
+// collect sorts changed keys of one transaction into batches by their sender.
+func collect(changes []storage.Item, prefix string) map[string][]piece {
+	pieces := make(map[string][]piece)
+	for _, it := range changes {
+		name, _, ok := strings.Cut(strings.TrimPrefix(it.Key, prefix), "/")
+		var p piece
+		if !ok || it.Data == nil || json.Unmarshal(it.Data, &p) != nil {
+			continue
+		}
+		if old := pieces[name]; len(old) > 0 && (old[0].Serial != p.Serial || old[0].Run != p.Run) {
+			pieces[name] = nil
+		}
+		pieces[name] = append(pieces[name], p)
+	}
+	for name, ps := range pieces {
+		if len(ps) != ps[0].Of {
+			delete(pieces, name)
+		}
+	}
+	return pieces
+}
+
+func mailOps(prefix, name string, values []json.RawMessage) []storage.Op {
+	var ops []storage.Op
+	for i, v := range values {
+		ops = append(ops, storage.Op{Key: fmt.Sprintf("%s%s/%d", prefix, name, i), Data: v})
+	}
+	return ops
+}
+
+// mailer is the actor of a follower's mail.
+type mailer struct {
+	settings *Settings
+	svc      storage.StateService
+	log      *slog.Logger
+	in       chan posted
+	run1     uint64 // this process's own mark on its batches
+	serial   uint64
+	limiter  *rate.Limiter
+}
+
+type posted struct {
+	letter
+	reply chan mailReply
+}
+
+func newMailer(s *Settings, deps Deps) *mailer {
+	return &mailer{
+		settings: s, svc: deps.State, log: deps.Log, in: make(chan posted, mailQueue), run1: deps.Rand.Uint64(),
+		limiter: mailLimiter(s),
+	}
+}
+
+func mailLimiter(s *Settings) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(s.State.ChangesPerS*mailShare), max(1, int(s.State.ChangesPerS*mailShare)))
+}
+
+func (m *mailer) send(ctx context.Context, l letter) mailReply {
+	p := posted{l, make(chan mailReply, 1)}
+	select {
+	case m.in <- p:
+	default:
+		return mailReply{}
+	}
+	select {
+	case r := <-p.reply:
+		return r
+	case <-ctx.Done():
+		return mailReply{}
+	}
+}
+
+func (m *mailer) user(ctx context.Context, req UserRequest) Answer {
+	if r := m.send(ctx, letter{User: &req}); r.Done && r.User != nil {
+		return *r.User
+	}
+	return Unavailable(req.ID, "leader out of reach")
+}
+
+func (m *mailer) beat(ctx context.Context, report *Report) BeatAnswer {
+	if r := m.send(ctx, letter{Report: report}); r.Done && r.Beat != nil {
+		return *r.Beat
+	}
+	return BeatAnswer{Busy: true}
+}
+
+// run sends batch after batch, each once the one before it is over.
+func (m *mailer) run(ctx context.Context) {
+	for {
+		var batch []posted
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-m.in:
+			batch = append(batch, p)
+		}
+		if !wait(ctx, scale(m.settings.Report, gatherPerReport)) {
+			return
+		}
+		for more := true; more && len(batch) < mailBatch; {
+			select {
+			case p := <-m.in:
+				batch = append(batch, p)
+			default:
+				more = false
+			}
+		}
+		for len(batch) > 0 && ctx.Err() == nil {
+			batch = m.deliver(ctx, batch)
+		}
+	}
+}
+
+// deliver sends a batch, or the half of it that fits, and returns the rest.
+func (m *mailer) deliver(ctx context.Context, batch []posted) []posted {
+	ctx, cancel := context.WithTimeout(ctx, mailPatience)
+	defer cancel()
+	m.serial++
+	n := len(batch)
+	var values []json.RawMessage
+	for ; n > 0; n /= 2 {
+		letters := make([]letter, 0, n)
+		for _, p := range batch[:n] {
+			letters = append(letters, p.letter)
+		}
+		var err error
+		if values, err = encodePieces(letters, m.run1, m.serial, m.settings.State.ValueBytes); err != nil {
+			m.log.Error("mail not encoded", "err", err)
+		}
+		if values != nil {
+			break
+		}
+	}
+	replies := make([]mailReply, len(batch))
+	if n > 0 {
+		got, err := m.exchange(ctx, values)
+		if err != nil {
+			m.log.Debug("mail unanswered", "letters", n, "err", err)
+		}
+		copy(replies, got)
+	} else {
+		n = 1 // a single letter that doesn't fit
+	}
+	for i, p := range batch[:n] {
+		p.reply <- replies[i]
+	}
+	return batch[n:]
+}
+
+func (m *mailer) exchange(ctx context.Context, values []json.RawMessage) ([]mailReply, error) {
+	if err := m.limiter.WaitN(ctx, min(len(values), m.limiter.Burst())); err != nil {
+		return nil, err
+	}
+	rev, err := m.svc.Txn(ctx, nil, mailOps(askPrefix, m.settings.Node, values))
+	if err != nil {
+		return nil, err
+	}
+	prefix := answerPrefix + m.settings.Node + "/"
+	for {
+		changes, next, err := m.svc.Watch(ctx, prefix, rev, mailPatience)
+		if err != nil {
+			return nil, err
+		}
+		rev = next
+		for _, pieces := range collect(changes, answerPrefix) {
+			if pieces[0].Serial != m.serial || pieces[0].Run != m.run1 {
+				continue
+			}
+			var replies []mailReply
+			return replies, decodePieces(pieces, &replies)
+		}
+	}
+}
+
+// postmaster is the leader's actor that answers the mail.
+type postmaster struct {
+	settings *Settings
+	svc      storage.StateService
+	log      *slog.Logger
+	guard    storage.Guard
+	desk     *dispatcher
+	limiter  *rate.Limiter
+}
+
+func newPostmaster(s *Settings, deps Deps, guard storage.Guard, desk *dispatcher) *postmaster {
+	return &postmaster{settings: s, svc: deps.State, log: deps.Log, guard: guard, desk: desk, limiter: mailLimiter(s)}
+}
+
+func (p *postmaster) run(ctx context.Context) {
+	hold := p.settings.Lease
+	rev := p.guard.Version
+	for ctx.Err() == nil {
+		wctx, cancel := context.WithTimeout(ctx, 2*hold)
+		changes, next, err := p.svc.Watch(wctx, askPrefix, rev, hold)
+		cancel()
+		if err != nil {
+			// What was asked meanwhile is asked again.
+			if _, _, now, lerr := p.svc.List(ctx, askPrefix, "", 1); lerr == nil {
+				rev = now
+			}
+			wait(ctx, p.settings.Tuning.LeaderLease/touchesPerLease)
+			continue
+		}
+		rev = next
+		for name, pieces := range collect(changes, askPrefix) {
+			var letters []letter
+			if err := decodePieces(pieces, &letters); err != nil {
+				p.log.Error("mail not understood", "from", name, "err", err)
+				continue
+			}
+			p.answer(ctx, name, pieces[0], letters)
+		}
+	}
+}
+
+// answer has the dispatcher answer the letters and sends the answers back.
+func (p *postmaster) answer(ctx context.Context, name string, ask piece, letters []letter) {
+	actx, cancel := context.WithTimeout(ctx, mailPatience/2)
+	defer cancel()
+	replies := make([]mailReply, len(letters))
+	type answered struct {
+		i int
+		r mailReply
+	}
+	answers := make(chan answered, len(letters))
+	for i, l := range letters {
+		go func() {
+			r := mailReply{Done: true}
+			switch {
+			case l.User != nil:
+				a := p.desk.user(actx, *l.User)
+				r.User = &a
+			case l.Report != nil:
+				b := p.desk.beat(actx, l.Report)
+				r.Beat = &b
+			}
+			answers <- answered{i, r}
+		}()
+	}
+	for range letters {
+		a := <-answers
+		replies[a.i] = a.r
+	}
+	values, err := encodePieces(replies, ask.Run, ask.Serial, p.settings.State.ValueBytes)
+	if err != nil || values == nil {
+		p.log.Error("mail not answered", "to", name, "letters", len(letters), "err", err)
+		return
+	}
+	if err := p.limiter.WaitN(ctx, min(len(values), p.limiter.Burst())); err != nil {
+		return
+	}
+	if _, err := p.svc.Txn(actx, []storage.Guard{p.guard}, mailOps(answerPrefix, name, values)); err != nil {
+		p.log.Debug("mail not answered", "to", name, "err", err)
+		return
+	}
+	p.log.Debug("mail answered", "to", name, "letters", len(letters))
+}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -33,6 +33,7 @@
 	settings *Settings
 	deps     Deps
 	lead     *leadership
+	mail     *mailer
 	roles    chan Role
 	view     atomic.Pointer[view] // published by the node's own goroutine
 }
@@ -52,6 +53,7 @@
 		run:    fmt.Sprintf("%016x", deps.Rand.Uint64()),
 		resign: make(chan uint64, 4),
 	}
+	n.mail = newMailer(s, deps)
 	n.view.Store(&view{})
 	return n
 }
@@ -67,6 +69,7 @@
 	}
 	g.Go(func() error { n.lead.Run(ctx); return nil })
 	g.Go(func() error { n.follow(ctx); return nil })
+	g.Go(func() error { n.mail.run(ctx); return nil })
 	return g.Wait()
 }
 
@@ -149,6 +152,7 @@
 	g.Go(func() error { return journal.Run(gctx) })
 	g.Go(func() error { return d.run(gctx) })
 	g.Go(func() error { return c.run(gctx) })
+	g.Go(func() error { newPostmaster(n.settings, n.deps, role.Guard, d).run(gctx); return nil })
 	select {
 	case loaded <- d:
 	case <-ctx.Done():
@@ -182,6 +186,9 @@
 	case v.role.Leader == "" || v.role.Leading:
 		return Unavailable(req.ID, "no leader yet")
 	}
+	if n.useMail(v) {
+		return n.mail.user(ctx, req)
+	}
 	a, err := n.deps.Peers.Forward(ctx, v.role.Leader, req)
 	if err != nil {
 		return Unavailable(req.ID, "leader out of reach")
@@ -189,9 +196,15 @@
 	return a
 }
 
+// useMail tells whether the leader lives, for its key outlasts its grant's
+// life, and yet can't be reached: then only the state service leads to it.
+func (n *Node) useMail(v *view) bool {
+	return n.deps.Peers.Unheard(v.role.Leader) > n.settings.Tuning.LeaderLease
+}
+
 // Local answers a request that another node forwarded.
 func (n *Node) Local(ctx context.Context, req UserRequest) Answer {
-	if v := n.view.Load(); v.desk != nil {
+	if v := n.view.Load(); v.desk != nil && req.Op != OpPing {
 		return v.desk.user(ctx, req)
 	}
 	return Unavailable(req.ID, "not the leader")
@@ -206,5 +219,8 @@
 	case v.role.Leading:
 		return BeatAnswer{Busy: true}
 	}
+	if v.role.Leader != "" && n.useMail(v) {
+		return n.mail.beat(ctx, r)
+	}
 	return BeatAnswer{Leader: v.role.Leader}
 }
--- a/internal/coordination/ports.go
+++ b/internal/coordination/ports.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"sagevale/internal/storage"
 )
@@ -197,12 +198,16 @@
 	OpSubmit UserOp = iota
 	OpPoll
 	OpCancel
+	OpPing // asks nothing: another node tests the link
 )
 
 // PeerLink forwards users' requests to another node.
 type PeerLink interface {
 	// Forward asks the named node; an error means that no answer came.
 	Forward(ctx context.Context, node string, req UserRequest) (Answer, error)
+	// Unheard is for how long the named node has been out of reach; 0: it is
+	// in reach.
+	Unheard(node string) time.Duration
 }
 
 // Unavailable is the answer of a node that can't decide now.
--- a/internal/protocol/state.go
+++ b/internal/protocol/state.go
@@ -78,6 +78,26 @@
 
 // Changes is what a watch returns.
 type Changes struct {
-	Revision uint64            `json:"LedgerRev"`
-	Events   []json.RawMessage `json:"Events"`
+	Revision uint64   `json:"LedgerRev"`
+	Events   []change `json:"Events"`
+}
+
+type change struct {
+	Set     string          `json:"Set"`
+	Remove  string          `json:"Remove"`
+	Data    json.RawMessage `json:"Data"`
+	Version uint64          `json:"Stamp"`
+}
+
+// Items takes the changes off the wire; a removed key has no data.
+func (c Changes) Items() []storage.Item {
+	out := make([]storage.Item, 0, len(c.Events))
+	for _, e := range c.Events {
+		if e.Remove != "" {
+			out = append(out, storage.Item{Key: e.Remove, Version: e.Version})
+			continue
+		}
+		out = append(out, storage.Item{Key: e.Set, Data: e.Data, Version: e.Version})
+	}
+	return out
 }
--- a/internal/storage/journal.go
+++ b/internal/storage/journal.go
@@ -23,7 +23,7 @@
 	// valueShare of the value limit is used, the rest is left for framing.
 	valueShare = 0.9
 	// changeShare of the change budget is the journal's.
-	changeShare = 0.8
+	changeShare = 0.7
 	// txnBytes bounds one transaction, under the protocol's 64 KiB.
 	txnBytes = 56 << 10
 	// cleanFactor: chunks are cleaned when there are more than this many times
--- a/internal/storage/service.go
+++ b/internal/storage/service.go
@@ -65,6 +65,7 @@
 	Touch(ctx context.Context, lease uint64) error
 	Revoke(ctx context.Context, lease uint64) error
 	// Watch waits until a key under prefix changes after the revision, or
-	// until hold has passed; it returns whether anything changed.
-	Watch(ctx context.Context, prefix string, after uint64, hold time.Duration) (changed bool, revision uint64, err error)
+	// until hold has passed; it returns what changed. Removed keys come
+	// without data.
+	Watch(ctx context.Context, prefix string, after uint64, hold time.Duration) (changes []Item, revision uint64, err error)
 }
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"sagevale/internal/coordination"
@@ -30,6 +31,10 @@
 	peerPause = 250 * time.Millisecond
 	// peerQueue bounds the requests that wait for one peer.
 	peerQueue = 256
+	// pingPause is how often a link is tested, and pingMissed how long one
+	// that hears nothing counts as in reach.
+	pingPause  = 500 * time.Millisecond
+	pingMissed = 3 * pingPause
 )
 
 var errPeer = errors.New("peer out of reach")
@@ -47,10 +52,12 @@
 func NewPeers(peers []coordination.Peer, log *slog.Logger) *Peers {
 	p := &Peers{links: make(map[string]*link), log: log}
 	for _, peer := range peers {
-		p.links[peer.Name] = &link{
+		l := &link{
 			addr: peer.Addr, calls: make(chan call, peerQueue), events: make(chan any, peerQueue),
 			log: log.With("peer", peer.Name),
 		}
+		l.heard.Store(time.Now())
+		p.links[peer.Name] = l
 	}
 	return p
 }
@@ -85,6 +92,18 @@
 	}
 }
 
+// Unheard is for how long the named node has been out of reach.
+func (p *Peers) Unheard(node string) time.Duration {
+	l := p.links[node]
+	if l == nil {
+		return 0
+	}
+	if d := time.Since(l.heard.Load().(time.Time)); d > pingMissed {
+		return d
+	}
+	return 0
+}
+
 type call struct {
 	req   coordination.UserRequest
 	reply chan result
@@ -112,6 +131,7 @@
 	pending  map[uint64]pendingCall
 	serial   uint64
 	downTill time.Time
+	heard    atomic.Value // time.Time of the last answer, published for others
 }
 
 // brokenMsg tells that reading from a connection has ended.
@@ -122,7 +142,7 @@
 
 func (l *link) run(ctx context.Context) {
 	l.pending = make(map[uint64]pendingCall)
-	tick := time.NewTicker(peerPatience / 2)
+	tick := time.NewTicker(pingPause)
 	defer tick.Stop()
 	for {
 		select {
@@ -134,6 +154,7 @@
 		case e := <-l.events:
 			switch e := e.(type) {
 			case peerAnswer:
+				l.heard.Store(time.Now())
 				if p, ok := l.pending[e.Serial]; ok {
 					delete(l.pending, e.Serial)
 					p.reply <- result{answer: e.Answer}
@@ -145,6 +166,7 @@
 			}
 		case <-tick.C:
 			l.expire(time.Now())
+			l.send(ctx, call{req: coordination.UserRequest{Op: coordination.OpPing}, reply: make(chan result, 1)})
 		}
 	}
 }
--- a/internal/transport/state.go
+++ b/internal/transport/state.go
@@ -118,12 +118,12 @@
 	return s.send(ctx, http.MethodDelete, fmt.Sprintf("/grants/%d", lease), nil, nil)
 }
 
-// Watch waits for a change under prefix.
-func (s *StateClient) Watch(ctx context.Context, prefix string, after uint64, hold time.Duration) (bool, uint64, error) {
+// Watch waits for changes under prefix.
+func (s *StateClient) Watch(ctx context.Context, prefix string, after uint64, hold time.Duration) ([]storage.Item, uint64, error) {
 	q := url.Values{"Under": {prefix}, "From": {strconv.FormatUint(after, 10)}, "HoldMs": {strconv.FormatInt(hold.Milliseconds(), 10)}}
 	var ch protocol.Changes
 	if err := s.send(ctx, http.MethodGet, "/changes?"+q.Encode(), nil, &ch); err != nil {
-		return false, 0, err
+		return nil, 0, err
 	}
-	return len(ch.Events) > 0, ch.Revision, nil
+	return ch.Items(), ch.Revision, nil
 }
