Reserve from a rate, hire for batch only what helps, shrink the dearest waste first

Cause: the fleet's start counted as an arrival rate, so three times the need was rented; batch bursts rented machines that came after the work was done; shrinking picked the emptiest machine, not the dearest. Ruled out: slow shrink windows alone (28 machines had been hired by second 29).

--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -16,6 +16,8 @@
 const (
 	// tickPerReport is the dispatcher's clock, in report intervals.
 	tickPerReport = 0.15
+	// viewPerReport is how often the fleet is looked at, in report intervals.
+	viewPerReport = 0.25
 	// stallPerReport is how long a commit may take, in report intervals,
 	// before those who wait for it are told to come back.
 	stallPerReport = 0.35
@@ -67,6 +69,10 @@
 	goneBefore map[int]bool // machines whose return the cloud has confirmed
 	gpuNeed    storage.Room
 	gpuNeedAt  time.Time
+	firstJob   time.Time // when the first job ever came
+	behind     int       // tasks of ending work left over in the trial packing under way
+	spareNow   int       // the machine that could be returned, as last found
+	lastSpare  time.Time
 }
 
 // Messages to the dispatcher.
@@ -126,7 +132,15 @@
 			return fmt.Errorf("record %s: %w", r.Key, err)
 		}
 	}
+	known := make([]*job, 0, len(d.jobs))
 	for _, j := range d.jobs {
+		known = append(known, j)
+	}
+	sort.Slice(known, func(a, b int) bool { return known[a].submitted.Before(known[b].submitted) })
+	for _, j := range known {
+		if j.tasks != nil {
+			d.arrival(j)
+		}
 		if j.phase == storage.Open || len(j.attempts) > 0 {
 			d.open[j.spec.ID] = j
 			d.openTasks += len(j.tasks)
@@ -455,7 +469,7 @@
 	}
 	d.expire(now)
 	d.place = true
-	if now.Sub(d.lastView) >= time.Second {
+	if now.Sub(d.lastView) >= scale(d.settings.Report, viewPerReport) {
 		d.lastView = now
 		v := d.fleetView(now)
 		d.giveBack(append(v.emptied, v.lost...))
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -27,10 +27,11 @@
 	settled  bool    // a cloud list has been seen in this term
 }
 
-// class keeps what arrivals of a class of jobs look like.
+// class keeps what arrivals and run times of a class of jobs look like.
 type class struct {
 	last     *job
 	arrivals []arrival
+	runS     float64 // mean run time of its tasks, as seen
 }
 
 type arrival struct {
@@ -40,50 +41,111 @@
 
 const (
 	// rateLeases is the window of the arrival rate, in worker leases.
-	rateLeases = 6.0
+	rateLeases = 8.0
 	// bootPatience: a machine that is not up after this many times its boot
 	// time no longer counts as coming, and is returned at twice that.
 	bootPatience = 3.0
+	// runWeight is the weight of the latest run time in a class's mean.
+	runWeight = 0.05
 )
 
-func (d *dispatcher) arrival(j *job, now time.Time) {
+// arrival notes a job of its class. What comes within a lease of the first job
+// ever is the fleet's start, not a rate.
+func (d *dispatcher) arrival(j *job) {
 	c := d.classes[j.spec.Class]
 	if c == nil {
 		c = &class{}
 		d.classes[j.spec.Class] = c
 	}
+	if d.firstJob.IsZero() || j.submitted.Before(d.firstJob) {
+		d.firstJob = j.submitted
+	}
 	c.last = j
-	c.arrivals = append(c.arrivals, arrival{now, j.spec.Tasks})
-	horizon := now.Add(-scale(d.settings.Lease, rateLeases))
-	for len(c.arrivals) > 0 && c.arrivals[0].at.Before(horizon) {
+	if len(c.arrivals) >= arrivalsKept {
 		c.arrivals = c.arrivals[1:]
 	}
+	c.arrivals = append(c.arrivals, arrival{j.submitted, j.spec.Tasks})
+}
+
+// arrivalsKept bounds what is kept of a class's arrivals.
+const arrivalsKept = 512
+
+// ran takes a finished task's run time into its class's mean.
+func (d *dispatcher) ran(a *attempt, now time.Time) {
+	c := d.classes[a.job.spec.Class]
+	if c == nil || a.started.IsZero() {
+		return
+	}
+	run := now.Sub(a.started).Seconds()
+	if c.runS == 0 {
+		c.runS = run
+	}
+	c.runS += runWeight * (run - c.runS)
+}
+
+// runTime is how long a task of the job runs, by what was seen of its class.
+func (d *dispatcher) runTime(j *job) float64 {
+	if c := d.classes[j.spec.Class]; c != nil && c.runS > 0 {
+		return c.runS
+	}
+	return j.spec.EstimateS
 }
 
-// reserve is how many tasks of the class to keep room for: those expected to
-// come while a machine boots, and some for luck.
+// reserve is how many tasks of the class to keep room for. Of services, those
+// expected to come while a machine boots, and some for luck. Of other work of
+// some priority that may use spot machines, what its usual number of running
+// tasks, and some for luck, exceeds the present one by.
 func (d *dispatcher) reserve(c *class, now time.Time) int {
-	if c.last == nil || c.last.spec.Priority < storage.High {
+	s := &c.last.spec
+	batch := !s.Service
+	if s.Priority < storage.High && !(batch && s.Spot && s.Priority >= storage.Normal) {
 		return 0
 	}
-	window := scale(d.settings.Lease, rateLeases)
-	if age := now.Sub(d.began); age < window {
-		window = max(age, d.settings.Lease)
+	since := now.Add(-scale(d.settings.Lease, rateLeases))
+	if start := d.firstJob.Add(d.settings.Lease); start.After(since) {
+		since = start
 	}
-	n := 0
+	window := now.Sub(since)
+	if window < d.settings.Lease {
+		return 0
+	}
+	tasks, squares := 0.0, 0.0
 	for _, a := range c.arrivals {
-		if now.Sub(a.at) <= window {
-			n += a.tasks
+		if a.at.After(since) {
+			tasks += float64(a.tasks)
+			squares += float64(a.tasks * a.tasks)
+		}
+	}
+	luck := d.settings.Tuning.Reserve
+	if batch {
+		run := d.runTime(c.last) / window.Seconds()
+		usual := tasks*run + luck*math.Sqrt(squares*run)
+		return max(0, int(usual)-d.present(s.Class))
+	}
+	boot := d.leastBoot(s) / window.Seconds()
+	return int(math.Ceil(tasks*boot + luck*math.Sqrt(squares*boot) - 0.5))
+}
+
+// present counts a class's booked and waiting tasks.
+func (d *dispatcher) present(class string) int {
+	n := 0
+	for _, j := range d.open {
+		if j.spec.Class == class && j.phase == storage.Open {
+			n += len(j.attempts) + j.waiting
 		}
 	}
+	return n
+}
+
+// leastBoot is the least boot time of the types that hold a task.
+func (d *dispatcher) leastBoot(s *storage.Spec) float64 {
 	boot := 0.0
-	for _, name := range d.fitting(&c.last.spec) {
+	for _, name := range d.fitting(s) {
 		if b := d.types[name].BootS; boot == 0 || b < boot {
 			boot = b
 		}
 	}
-	mean := float64(n) / window.Seconds() * boot
-	return int(math.Ceil(mean + d.settings.Tuning.Reserve*math.Sqrt(mean) - 0.5))
+	return boot
 }
 
 // perGPU is the most CPUs and memory that open jobs take with an accelerator.
@@ -148,8 +210,12 @@
 	}
 	if d.certain(now) {
 		v.wants = d.shortage(slots, now)
+		if len(v.wants) == 0 && v.healthy && !v.draining && now.Sub(d.lastSpare) >= d.settings.Report/2 {
+			d.lastSpare = now
+			d.spareNow = d.spare(now)
+		}
 		if len(v.wants) == 0 {
-			v.spare = d.spare(slots, now)
+			v.spare = d.spareNow
 		}
 	}
 	return v
@@ -164,7 +230,9 @@
 	job    *job
 	counts map[string]int
 	n      int
-	kept   bool // room to keep, not a task
+	kept   bool    // room to keep, not a task
+	runS   float64 // run time of a task of other work than services
+	slots  int     // of such work: how many run already
 }
 
 // demands lists the waiting tasks, most urgent first, then the room to keep.
@@ -192,7 +260,11 @@
 			teams[j.spec.Team] = teams[j.spec.Team].Plus(j.spec.Room)
 		}
 		if n > 0 {
-			out = append(out, &demand{job: j, counts: j.zoneCounts(), n: n})
+			dm := &demand{job: j, counts: j.zoneCounts(), n: n}
+			if !j.spec.Service {
+				dm.runS = d.runTime(j)
+			}
+			out = append(out, dm)
 		}
 	}
 	names := make([]string, 0, len(d.classes))
@@ -212,17 +284,26 @@
 }
 
 // shortage packs the demands into the slots and returns the offers that would
-// hold what is left, cheapest for its share first.
+// hold what is left, cheapest for its share first. Work that ends needs no
+// machine of its own when the places that it has will take it before a new
+// machine were up.
 func (d *dispatcher) shortage(slots []*slot, now time.Time) []offer {
 	var wants []offer
+	places := d.batchPlaces()
 	for _, dm := range d.demands(now) {
 		for dm.n > 0 {
 			if s := d.bestSlot(dm, slots); s != nil {
 				s.free = s.free.Minus(dm.job.spec.Room)
 				dm.counts[s.zone]++
 				dm.n--
+				if dm.runS > 0 {
+					places++
+				}
 				continue
 			}
+			if dm.runS > 0 && places > 0 && float64(d.backlog(dm))*dm.runS/float64(places) < d.leastBoot(&dm.job.spec) {
+				break
+			}
 			o, ok := d.bestOffer(dm, now)
 			if !ok || len(wants) >= d.settings.Tuning.GrowStep {
 				break
@@ -231,10 +312,28 @@
 			typ := d.types[o.kind]
 			slots = append(slots, &slot{o, typ, typ.Room})
 		}
+		if dm.runS > 0 {
+			d.behind += dm.n
+		}
 	}
+	d.behind = 0
 	return wants
 }
 
+// backlog is how many tasks of ending work would wait up to this demand.
+func (d *dispatcher) backlog(dm *demand) int { return d.behind + dm.n }
+
+// batchPlaces counts the places that ending work holds now.
+func (d *dispatcher) batchPlaces() int {
+	n := 0
+	for _, j := range d.open {
+		if !j.spec.Service {
+			n += len(j.attempts)
+		}
+	}
+	return n
+}
+
 // bestSlot finds the fullest slot that takes one more task of the demand.
 func (d *dispatcher) bestSlot(dm *demand, slots []*slot) *slot {
 	s := &dm.job.spec
@@ -275,7 +374,7 @@
 				continue
 			}
 			for _, spot := range []bool{true, false} {
-				if spot && (!s.Spot || t.SpotPrice <= 0) {
+				if spot && (!s.Spot || t.SpotPrice <= 0) || !spot && dm.kept && s.Spot {
 					continue
 				}
 				o := offer{name, zone, spot}
@@ -326,16 +425,20 @@
 	return max(1, int(n+1e-6))
 }
 
-// spare finds the least booked machine without which all that waits, all that
-// is to be kept and what runs on it would still fit.
-func (d *dispatcher) spare(slots []*slot, now time.Time) int {
-	best, bestShare := 0, 2.0
+// spare finds, of the machines without which all that waits, all that is to be
+// kept and what runs would still fit, the one that wastes the most money.
+func (d *dispatcher) spare(now time.Time) int {
+	best, bestWaste := 0, 0.0
 	for _, m := range d.sortedMachines() {
 		if !m.ready(now, d.settings.fresh()) {
 			continue
 		}
-		if used := d.bookedShare(m); used < bestShare && d.canSpare(m, now) {
-			best, bestShare = m.id, used
+		price := m.typ.Price
+		if m.spot {
+			price = m.typ.SpotPrice
+		}
+		if waste := price * (1 - d.bookedShare(m)); waste > bestWaste && d.canSpare(m, now) {
+			best, bestWaste = m.id, waste
 		}
 	}
 	return best
@@ -359,6 +462,9 @@
 		}
 	}
 	for _, a := range m.sortedAttempts() {
+		if !a.job.spec.Service {
+			continue // may finish
+		}
 		counts := a.job.zoneCounts()
 		counts[m.zone]--
 		s := d.bestSlot(&demand{job: a.job, counts: counts, n: 1}, slots)
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -178,6 +178,7 @@
 	case CauseDone:
 		j.failures = 0
 		m.failures = 0
+		d.ran(a, now)
 		j.setTask(a.task, taskDone)
 	case CauseError:
 		j.failures++
--- a/internal/coordination/settings.go
+++ b/internal/coordination/settings.go
@@ -66,9 +66,9 @@
 
 // Ratios of the tuning defaults to the settings' figures.
 const (
-	upPerReport     = 0.5 // DESIGN starts at 10 s
-	downPerLease    = 2.5
-	coolPerLease    = 1.0
+	upPerReport     = 0.3 // DESIGN starts at 10 s
+	downPerLease    = 1.0
+	coolPerLease    = 0.25
 	leaderPerLease  = 0.2
 	growStepDefault = 4
 	reserveDefault  = 1.0
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -112,7 +112,7 @@
 		j = newJob(spec, now)
 		d.jobs[spec.ID], d.open[spec.ID] = j, j
 		d.openTasks += spec.Tasks
-		d.arrival(j, now)
+		d.arrival(j)
 		d.markJob(j)
 		d.place = true
 	}
