--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -44,7 +44,10 @@
 	rateLeases = 8.0
 	// bootPatience: a machine that is not up after this many times its boot
 	// time no longer counts as coming, and is returned at twice that.
-	bootPatience = 3.0
+	bootPatience = 1.6
+	// hedgeShare of the waiting services that a booting machine is to take is
+	// rented for once more: some machines come late, some never.
+	hedgeShare = 0.25
 	// runWeight is the weight of the latest run time in a class's mean.
 	runWeight = 0.05
 )
@@ -167,8 +170,10 @@
 // slot is a machine's free room in a trial packing.
 type slot struct {
 	offer
-	typ  *storage.MachineType
-	free storage.Room
+	typ     *storage.MachineType
+	free    storage.Room
+	booting bool
+	images  map[string]image // cached ones; nil where they don't matter
 }
 
 // fleetView reckons the pressure: the waiting tasks' requested room minus the
@@ -206,7 +211,7 @@
 		if m.typ == nil || (!m.heard && m.bootOverdue(now, bootPatience)) {
 			continue
 		}
-		slots = append(slots, &slot{offer{m.kind, m.zone, m.spot}, m.typ, m.typ.Room.Minus(d.books.Machine(m.id))})
+		slots = append(slots, &slot{offer: offer{m.kind, m.zone, m.spot}, typ: m.typ, free: m.typ.Room.Minus(d.books.Machine(m.id)), booting: !m.heard})
 	}
 	if d.certain(now) {
 		v.wants = d.shortage(slots, now)
@@ -275,14 +280,19 @@
 	for _, n := range names {
 		c := d.classes[n]
 		if k := d.reserve(c, now); k > 0 {
-			model := &job{spec: c.last.spec}
-			model.spec.Spread, model.spec.SameZone = false, false
-			out = append(out, &demand{job: model, counts: map[string]int{}, n: k, kept: true})
+			out = append(out, &demand{job: modelOf(c.last), counts: map[string]int{}, n: k, kept: true})
 		}
 	}
 	return out
 }
 
+// modelOf returns a job like j whose tasks may be in any of its zones.
+func modelOf(j *job) *job {
+	model := &job{spec: j.spec}
+	model.spec.Spread, model.spec.SameZone = false, false
+	return model
+}
+
 // shortage packs the demands into the slots and returns the offers that would
 // hold what is left, cheapest for its share first. Work that ends needs no
 // machine of its own when the places that it has will take it before a new
@@ -290,7 +300,11 @@
 func (d *dispatcher) shortage(slots []*slot, now time.Time) []offer {
 	var wants []offer
 	places := d.batchPlaces()
-	for _, dm := range d.demands(now) {
+	hedges := make(map[string]float64)
+	demands := d.demands(now)
+	for i := 0; i < len(demands); i++ {
+		dm := demands[i]
+		coming := 0
 		for dm.n > 0 {
 			if s := d.bestSlot(dm, slots); s != nil {
 				s.free = s.free.Minus(dm.job.spec.Room)
@@ -299,6 +313,9 @@
 				if dm.runS > 0 {
 					places++
 				}
+				if s.booting {
+					coming++
+				}
 				continue
 			}
 			if dm.runS > 0 && places > 0 && float64(d.backlog(dm))*dm.runS/float64(places) < d.leastBoot(&dm.job.spec) {
@@ -310,11 +327,18 @@
 			}
 			wants = append(wants, o)
 			typ := d.types[o.kind]
-			slots = append(slots, &slot{o, typ, typ.Room})
+			slots = append(slots, &slot{offer: o, typ: typ, free: typ.Room, booting: true})
 		}
 		if dm.runS > 0 {
 			d.behind += dm.n
 		}
+		if dm.job.spec.Service && !dm.kept {
+			hedges[dm.job.spec.Class] += hedgeShare * float64(coming)
+			if extra := int(hedges[dm.job.spec.Class]); extra > 0 {
+				hedges[dm.job.spec.Class] -= float64(extra)
+				demands = append(demands, &demand{job: modelOf(dm.job), counts: map[string]int{}, n: extra, kept: true})
+			}
+		}
 	}
 	d.behind = 0
 	return wants
@@ -343,6 +367,9 @@
 		if (sl.spot && !s.Spot) || !allowed(s.Types, sl.kind) || !s.Room.Fits(sl.free) || !dm.job.zoneAllows(sl.zone, dm.counts) {
 			continue
 		}
+		if _, ok := sl.images[s.Image]; sl.images != nil && !dm.kept && s.Service && !ok {
+			continue // a replica isn't moved to where it would wait for its image
+		}
 		if s.Room.GPUs == 0 && sl.typ.Room.GPUs > 0 {
 			need, left := d.perGPU(), sl.free.Minus(s.Room)
 			if left.CPUs < need.CPUs*sl.free.GPUs || left.MemoryGB < need.MemoryGB*sl.free.GPUs {
@@ -458,7 +485,7 @@
 	var slots []*slot
 	for _, o := range d.sortedMachines() {
 		if o != m && o.ready(now, d.settings.fresh()) {
-			slots = append(slots, &slot{offer{o.kind, o.zone, o.spot}, o.typ, o.typ.Room.Minus(d.books.Machine(o.id))})
+			slots = append(slots, &slot{offer: offer{o.kind, o.zone, o.spot}, typ: o.typ, free: o.typ.Room.Minus(d.books.Machine(o.id)), images: o.images})
 		}
 	}
 	for _, a := range m.sortedAttempts() {
@@ -473,6 +500,9 @@
 		}
 		s.free = s.free.Minus(a.job.spec.Room)
 	}
+	for _, s := range slots {
+		s.images = nil
+	}
 	return len(d.shortage(slots, now)) == 0
 }
 
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -141,6 +141,8 @@
 		case Running, Saving:
 			if !wasRunning && t.State == Running {
 				a.started = now
+				d.log.Debug("task running", "job", a.job.spec.ID, "class", a.job.spec.Class, "task", a.task, "machine", m.id,
+					"since_submit", now.Sub(a.job.submitted), "since_booking", now.Sub(a.booked))
 			}
 			m.useImage(a.job.spec.Image, a.job.spec.ImageGB, now)
 		case Ended:
