--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -43,8 +43,10 @@
 	// rateLeases is the window of the arrival rate, in worker leases.
 	rateLeases = 8.0
 	// bootPatience: a machine that is not up after this many times its boot
-	// time no longer counts as coming, and is returned at twice that.
+	// time no longer counts as coming; some take several times as long, some
+	// never come. After deadPatience times it is returned: another comes sooner.
 	bootPatience = 1.6
+	deadPatience = 2.0
 	// hedgeShare of the waiting services that a booting machine is to take is
 	// rented for once more: some machines come late, some never.
 	hedgeShare = 0.25
@@ -190,7 +192,7 @@
 		case m.failed:
 			v.lost = append(v.lost, m.id)
 			continue
-		case !m.heard && len(m.attempts) == 0 && m.bootOverdue(now, 2*bootPatience):
+		case !m.heard && len(m.attempts) == 0 && m.bootOverdue(now, deadPatience):
 			v.lost = append(v.lost, m.id)
 			v.size++
 			continue
@@ -248,7 +250,7 @@
 			waiting = append(waiting, j)
 		}
 	}
-	byUrgency(waiting, d.withinGuarantee)
+	d.byUrgency(waiting, now)
 	var out []*demand
 	teams := make(map[string]storage.Room)
 	for _, j := range waiting {
--- a/internal/coordination/job.go
+++ b/internal/coordination/job.go
@@ -222,16 +222,37 @@
 	return j.submitted
 }
 
-// byUrgency sorts waiting jobs: priority first, then the work within its
-// team's guarantee, then the earlier due.
-func byUrgency(jobs []*job, within func(*job) bool) {
+// hope tells whether a job that runs for runS can still be done by its
+// deadline (0), within lateTimes of it (1), or neither (2). A lost deadline
+// isn't made better by losing others.
+func (j *job) hope(now time.Time, runS float64) int {
+	if j.spec.Service || j.spec.DeadlineS <= 0 {
+		return 0
+	}
+	ends := now.Add(seconds(runS))
+	switch {
+	case !ends.After(j.due()):
+		return 0
+	case !ends.After(j.submitted.Add(seconds(j.spec.DeadlineS * lateTimes))):
+		return 1
+	}
+	return 2
+}
+
+// lateTimes a deadline is how long late work is still worth hurrying.
+const lateTimes = 1.5
+
+// byUrgency sorts waiting jobs: priority first, then what can still be done in
+// time, then the work within its team's guarantee, then the earlier due.
+func (d *dispatcher) byUrgency(jobs []*job, now time.Time) {
 	type key struct {
+		hope   int
 		within bool
 		due    time.Time
 	}
 	keys := make(map[*job]key, len(jobs))
 	for _, j := range jobs {
-		keys[j] = key{within(j), j.due()}
+		keys[j] = key{j.hope(now, d.runTime(j)), d.withinGuarantee(j), j.due()}
 	}
 	sort.SliceStable(jobs, func(x, y int) bool {
 		a, b := jobs[x], jobs[y]
@@ -239,6 +260,8 @@
 		switch {
 		case a.spec.Priority != b.spec.Priority:
 			return a.spec.Priority > b.spec.Priority
+		case ka.hope != kb.hope:
+			return ka.hope < kb.hope
 		case ka.within != kb.within:
 			return ka.within
 		case !ka.due.Equal(kb.due):
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -32,7 +32,7 @@
 	if len(waiting) == 0 {
 		return
 	}
-	byUrgency(waiting, d.withinGuarantee)
+	d.byUrgency(waiting, now)
 	ready := make([]*machine, 0, len(d.machines))
 	for _, m := range d.machines {
 		if m.ready(now, d.settings.fresh()) {
