Return machines unheard since a take-over where their services fit elsewhere

Also leaves deaf machines alone. Ruled out: waiting for the lease (too long), lists (prove nothing).

--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -472,7 +472,7 @@
 	if now.Sub(d.lastView) >= scale(d.settings.Report, viewPerReport) {
 		d.lastView = now
 		v := d.fleetView(now)
-		d.giveBack(append(v.emptied, v.lost...))
+		d.giveBack(append(append(v.emptied, v.lost...), d.lostStrangers(now)...))
 		d.capacity.post(viewMsg{v})
 	}
 }
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -176,6 +176,7 @@
 	free    storage.Room
 	booting bool
 	images  map[string]image // cached ones; nil where they don't matter
+	on      *machine         // nil: not yet rented
 }
 
 // fleetView reckons the pressure: the waiting tasks' requested room minus the
@@ -482,25 +483,15 @@
 	return share
 }
 
-// canSpare tries a packing of everything without the machine.
+// canSpare tries a packing of everything without the machine. Its replicas
+// must find their images where they go.
 func (d *dispatcher) canSpare(m *machine, now time.Time) bool {
-	var slots []*slot
-	for _, o := range d.sortedMachines() {
-		if o != m && o.ready(now, d.settings.fresh()) {
-			slots = append(slots, &slot{offer: offer{o.kind, o.zone, o.spot}, typ: o.typ, free: o.typ.Room.Minus(d.books.Machine(o.id)), images: o.images})
-		}
+	slots := d.readySlots(m, now)
+	for _, s := range slots {
+		s.images = s.on.images
 	}
-	for _, a := range m.sortedAttempts() {
-		if !a.job.spec.Service {
-			continue // may finish
-		}
-		counts := a.job.zoneCounts()
-		counts[m.zone]--
-		s := d.bestSlot(&demand{job: a.job, counts: counts, n: 1}, slots)
-		if s == nil {
-			return false
-		}
-		s.free = s.free.Minus(a.job.spec.Room)
+	if !moveServices(d, m, slots) {
+		return false
 	}
 	for _, s := range slots {
 		s.images = nil
@@ -632,3 +623,74 @@
 		}
 	})
 }
+
+const (
+	// strangerLease is how much of a lease after a take-over a machine may
+	// stay unheard before it counts as lost.
+	strangerLease = 0.5
+	// strangerShare of the machines may be lost at a time; if more are silent,
+	// the trouble is ours or a zone's.
+	strangerShare = 0.25
+)
+
+// lostStrangers finds machines that carry services and have not been heard
+// since the take-over, while nearly all others have. Their lease bound must
+// cover an earlier leader's hold and so is long; a deletion's 200 proves them
+// empty sooner. That is done only where their services find room elsewhere: a
+// machine that comes back has its images.
+func (d *dispatcher) lostStrangers(now time.Time) []int {
+	if !d.certain(now) || now.Sub(d.began) < max(scale(d.settings.Lease, strangerLease), d.settings.fresh()) {
+		return nil
+	}
+	var silent []*machine
+	carrying := 0
+	for _, m := range d.sortedMachines() {
+		if len(m.attempts) == 0 || m.returning {
+			continue
+		}
+		carrying++
+		if !m.heard && m.lastBeat.IsZero() && m.typ != nil {
+			silent = append(silent, m)
+		}
+	}
+	if float64(len(silent)) > max(1, strangerShare*float64(carrying)) {
+		return nil
+	}
+	var lost []int
+	slots := d.readySlots(nil, now)
+	for _, m := range silent {
+		if moveServices(d, m, slots) {
+			d.log.Info("unheard since the take-over", "machine", m.id, "attempts", len(m.attempts))
+			lost = append(lost, m.id)
+		}
+	}
+	return lost
+}
+
+// moveServices tries to pack a machine's services into the slots.
+func moveServices(d *dispatcher, m *machine, slots []*slot) bool {
+	for _, a := range m.sortedAttempts() {
+		if !a.job.spec.Service {
+			continue // may finish, or waits for room
+		}
+		counts := a.job.zoneCounts()
+		counts[m.zone]--
+		s := d.bestSlot(&demand{job: a.job, counts: counts, n: 1}, slots)
+		if s == nil {
+			return false
+		}
+		s.free = s.free.Minus(a.job.spec.Room)
+	}
+	return true
+}
+
+// readySlots returns the free room on ready machines other than without.
+func (d *dispatcher) readySlots(without *machine, now time.Time) []*slot {
+	var slots []*slot
+	for _, o := range d.sortedMachines() {
+		if o != without && o.ready(now, d.settings.fresh()) {
+			slots = append(slots, &slot{offer: offer{o.kind, o.zone, o.spot}, typ: o.typ, free: o.typ.Room.Minus(d.books.Machine(o.id)), on: o})
+		}
+	}
+	return slots
+}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -86,6 +86,9 @@
 		listed[taskTry{t.ID, t.Try}] = true
 		d.applyTask(m, r, t, now)
 	}
+	if beat {
+		d.watchHeed(m, r, now)
+	}
 	for _, a := range m.sortedAttempts() {
 		if !listed[taskTry{a.id(), a.try}] && d.provedAbsent(a, r, beat) {
 			d.free(a, "absent from a newer report")
@@ -95,8 +98,10 @@
 
 // sessionEnded clears what an ended session has killed.
 func (d *dispatcher) sessionEnded(m *machine, r *Report, now time.Time) {
-	if m.heard {
+	if m.heard && now.Sub(m.lastBeat) <= d.settings.fresh() {
+		// Its reports came and our answers went nowhere: it is deaf.
 		m.lapses++
+		m.pauseTill = now.Add(scale(d.settings.Lease, float64(m.lapses)))
 		d.log.Info("machine lost its session", "machine", m.id, "session", r.Session, "lapses", m.lapses)
 	}
 	for _, a := range m.sortedAttempts() {
@@ -108,6 +113,18 @@
 	m.recorded = false
 }
 
+// watchHeed leaves a machine alone whose reports come but which doesn't do as
+// it is told.
+func (d *dispatcher) watchHeed(m *machine, r *Report, now time.Time) {
+	for _, a := range m.attempts {
+		if !a.seen && a.beatSeq != 0 && r.Seq > a.beatSeq+1 && now.Sub(a.booked) > 2*d.settings.Report {
+			m.pauseTill = now.Add(d.settings.fresh())
+			d.log.Debug("machine takes no orders", "machine", m.id)
+			return
+		}
+	}
+}
+
 // provedAbsent tells whether a newer report without the attempt proves that it
 // neither is on the machine nor can come there.
 func (d *dispatcher) provedAbsent(a *attempt, r *Report, beat bool) bool {
