--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -106,29 +106,37 @@
 	if s.Priority < storage.High && !(batch && s.Spot && s.Priority >= storage.Normal) {
 		return 0
 	}
+	tasks, squares, window := d.rate(c, now)
+	if window == 0 {
+		return 0
+	}
+	luck := d.settings.Tuning.Reserve
+	if batch {
+		run := d.runTime(c.last) / window
+		usual := tasks*run + luck*math.Sqrt(squares*run)
+		return max(0, int(usual)-d.present(s.Class))
+	}
+	boot := d.leastBoot(s) / window
+	return int(math.Ceil(tasks*boot + luck*math.Sqrt(squares*boot) - 0.5))
+}
+
+// rate counts a class's tasks, and the sum of their jobs' squares, that came
+// within a window of so many seconds. The window is 0 until there is one.
+func (d *dispatcher) rate(c *class, now time.Time) (tasks, squares, window float64) {
 	since := now.Add(-scale(d.settings.Lease, rateLeases))
 	if start := d.firstJob.Add(d.settings.Lease); start.After(since) {
 		since = start
 	}
-	window := now.Sub(since)
-	if window < d.settings.Lease {
-		return 0
+	if now.Sub(since) < d.settings.Lease {
+		return 0, 0, 0
 	}
-	tasks, squares := 0.0, 0.0
 	for _, a := range c.arrivals {
 		if a.at.After(since) {
 			tasks += float64(a.tasks)
 			squares += float64(a.tasks * a.tasks)
 		}
 	}
-	luck := d.settings.Tuning.Reserve
-	if batch {
-		run := d.runTime(c.last) / window.Seconds()
-		usual := tasks*run + luck*math.Sqrt(squares*run)
-		return max(0, int(usual)-d.present(s.Class))
-	}
-	boot := d.leastBoot(s) / window.Seconds()
-	return int(math.Ceil(tasks*boot + luck*math.Sqrt(squares*boot) - 0.5))
+	return tasks, squares, now.Sub(since).Seconds()
 }
 
 // present counts a class's booked and waiting tasks.
@@ -303,6 +311,7 @@
 func (d *dispatcher) shortage(slots []*slot, now time.Time) []offer {
 	var wants []offer
 	places := d.batchPlaces()
+	usual := d.usualBatch(now)
 	hedges := make(map[string]float64)
 	demands := d.demands(now)
 	for i := 0; i < len(demands); i++ {
@@ -321,8 +330,12 @@
 				}
 				continue
 			}
-			if dm.runS > 0 && places > 0 && float64(d.backlog(dm))*dm.runS/float64(places) < d.leastBoot(&dm.job.spec) {
-				break
+			if dm.runS > 0 && places > 0 {
+				// What usually comes takes its places before the backlog does.
+				left := max(float64(places)-usual, leastLeft*float64(places))
+				if float64(d.backlog(dm))*dm.runS/left < d.leastBoot(&dm.job.spec) {
+					break
+				}
 			}
 			o, ok := d.bestOffer(dm, now)
 			if !ok || len(wants) >= d.settings.Tuning.GrowStep {
@@ -347,6 +360,22 @@
 	return wants
 }
 
+// leastLeft is the share of its places that a backlog gets at the least.
+const leastLeft = 0.2
+
+// usualBatch is how many places ending work usually takes.
+func (d *dispatcher) usualBatch(now time.Time) float64 {
+	n := 0.0
+	for _, c := range d.classes {
+		if !c.last.spec.Service {
+			if tasks, _, window := d.rate(c, now); window > 0 {
+				n += tasks / window * d.runTime(c.last)
+			}
+		}
+	}
+	return n
+}
+
 // backlog is how many tasks of ending work would wait up to this demand.
 func (d *dispatcher) backlog(dm *demand) int { return d.behind + dm.n }
 
--- a/internal/coordination/job.go
+++ b/internal/coordination/job.go
@@ -251,8 +251,16 @@
 		due    time.Time
 	}
 	keys := make(map[*job]key, len(jobs))
+	prompt := d.settings.promptStart()
+	within := d.guaranteed()
 	for _, j := range jobs {
-		keys[j] = key{j.hope(now, d.runTime(j)), d.withinGuarantee(j), j.due()}
+		k := key{j.hope(now, d.runTime(j)), within[j], j.due()}
+		if k.within && now.Sub(j.submitted) < prompt {
+			// It can still start as promptly as its guarantee has it; what
+			// has missed that loses little by letting it go first.
+			k.hope = -1
+		}
+		keys[j] = k
 	}
 	sort.SliceStable(jobs, func(x, y int) bool {
 		a, b := jobs[x], jobs[y]
@@ -270,3 +278,25 @@
 		return a.spec.ID < b.spec.ID
 	})
 }
+
+// guaranteed finds the open jobs that lie within their team's guarantee: they
+// fit into it together with the team's earlier unfinished jobs.
+func (d *dispatcher) guaranteed() map[*job]bool {
+	byTeam := make(map[string][]*job)
+	for _, j := range d.open {
+		if t := d.settings.team(j.spec.Team); j.phase == storage.Open && t != nil && t.Guarantee != (storage.Room{}) {
+			byTeam[t.Name] = append(byTeam[t.Name], j)
+		}
+	}
+	out := make(map[*job]bool)
+	for name, jobs := range byTeam {
+		sort.Slice(jobs, func(x, y int) bool { return jobs[x].submitted.Before(jobs[y].submitted) })
+		guarantee := d.settings.team(name).Guarantee
+		var used storage.Room
+		for _, j := range jobs {
+			used = used.Plus(j.spec.Room.Times(j.spec.Tasks - j.done))
+			out[j] = storage.Within(used, guarantee)
+		}
+	}
+	return out
+}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -116,16 +116,6 @@
 	return team != nil && storage.Within(d.books.Team(j.spec.Team).Plus(j.spec.Room), team.Limit)
 }
 
-// withinGuarantee tells whether one more task of the job stays within its
-// team's guarantee.
-func (d *dispatcher) withinGuarantee(j *job) bool {
-	team := d.settings.team(j.spec.Team)
-	if team == nil || team.Guarantee == (storage.Room{}) {
-		return false
-	}
-	return storage.Within(d.books.Team(j.spec.Team).Plus(j.spec.Room), team.Guarantee)
-}
-
 // book enters an attempt; it may start once its page is durable.
 func (d *dispatcher) book(j *job, task int, m *machine, now time.Time) *attempt {
 	d.nextTry++
--- a/internal/coordination/settings.go
+++ b/internal/coordination/settings.go
@@ -130,3 +130,13 @@
 	}
 	return nil
 }
+
+// promptStart is how soon work within a guarantee is to start; 0: not said.
+func (s *Settings) promptStart() time.Duration {
+	for _, o := range s.Objectives {
+		if o.Kind == "guarantee" {
+			return o.Within
+		}
+	}
+	return 0
+}
