--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -49,7 +49,7 @@
 	deadPatience = 2.0
 	// hedgeShare of the waiting services that a booting machine is to take is
 	// rented for once more: some machines come late, some never.
-	hedgeShare = 0.25
+	hedgeShare = 0.5
 	// runWeight is the weight of the latest run time in a class's mean.
 	runWeight = 0.05
 )
@@ -402,6 +402,9 @@
 			continue // a replica isn't moved to where it would wait for its image
 		}
 		if s.Room.GPUs == 0 && sl.typ.Room.GPUs > 0 {
+			if sl.booting && s.Service {
+				continue // smaller machines come sooner and cost little
+			}
 			need, left := d.perGPU(), sl.free.Minus(s.Room)
 			if left.CPUs < need.CPUs*sl.free.GPUs || left.MemoryGB < need.MemoryGB*sl.free.GPUs {
 				continue
