--- a/internal/coordination/capacity.go
+++ b/internal/coordination/capacity.go
@@ -236,7 +236,7 @@
 			c.upSince = now
 		}
 	}
-	if !v.healthy || v.draining || frozen {
+	if !v.healthy || frozen {
 		c.healthySince = time.Time{}
 	} else if c.healthySince.IsZero() && len(v.wants) == 0 {
 		c.healthySince = now
@@ -247,7 +247,7 @@
 	switch {
 	case len(v.wants) > 0 && now.Sub(c.upSince) >= c.settings.Tuning.UpWindow:
 		c.grow(v, now)
-	case v.spare != 0 && !c.healthySince.IsZero() && now.Sub(c.healthySince) >= c.settings.Tuning.DownWindow && now.After(c.coolTill):
+	case v.spare != 0 && !v.draining && !c.healthySince.IsZero() && now.Sub(c.healthySince) >= c.settings.Tuning.DownWindow && now.After(c.coolTill):
 		c.shrink(v, now)
 	}
 }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -190,7 +190,8 @@
 
 // The tiers of machines, as weights of what speaks against one.
 const (
-	tierOrdinaryForSpot = 1 << iota // a job that may use spot on an ordinary machine
+	tierSmall           = 1 << iota // a task without accelerators where it keeps a machine busy that could be returned
+	tierOrdinaryForSpot             // a job that may use spot on an ordinary machine
 	tierImage                       // the image must be fetched
 	tierStrands                     // leaves accelerators that nobody can use
 	tierTrouble                     // tasks have failed here lately
@@ -198,6 +199,9 @@
 
 func (d *dispatcher) tier(j *job, m *machine, now time.Time) int {
 	t := 0
+	if j.spec.Room.GPUs == 0 && m.typ.Room.GPUs == 0 {
+		t |= tierSmall
+	}
 	if j.spec.Spot && !m.spot {
 		t |= tierOrdinaryForSpot
 	}
