Drains stop what can save its progress where it finds room elsewhere

A first try without asking for room elsewhere starved the job (found by the story of the spot notice).

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -521,7 +521,7 @@
 	for _, s := range slots {
 		s.images = s.on.images
 	}
-	if !moveServices(d, m, slots) {
+	if !d.canMove(m, slots, true) {
 		return false
 	}
 	for _, s := range slots {
@@ -543,8 +543,9 @@
 	sort.Slice(ms, func(a, b int) bool { return ms[a].id < ms[b].id })
 }
 
-// drain has nothing more placed on a machine and moves its tasks: services
-// restart elsewhere, others may finish unless the machine is being taken.
+// drain has nothing more placed on a machine and moves its tasks: services and
+// what can save its progress restart elsewhere, others may finish unless the
+// machine is being taken.
 func (d *dispatcher) drain(m *machine, reason string) {
 	if m.draining != "" || m.returning {
 		return
@@ -557,9 +558,9 @@
 		switch {
 		case s.Service:
 			d.stop(a, 0)
-		case m.noticeAt.IsZero():
 		case s.CheckpointS > 0:
-			d.stop(a, s.SaveS)
+			d.stop(a, s.SaveS) // goes on elsewhere from where it was
+		case m.noticeAt.IsZero():
 		case !a.seen || a.state == Pulling || seconds(s.EstimateS)-now.Sub(a.started) > m.noticeAt.Sub(now):
 			d.stop(a, 0)
 		}
@@ -690,7 +691,7 @@
 	var lost []int
 	slots := d.readySlots(nil, now)
 	for _, m := range silent {
-		if moveServices(d, m, slots) {
+		if d.canMove(m, slots, false) {
 			d.log.Info("unheard since the take-over", "machine", m.id, "attempts", len(m.attempts))
 			lost = append(lost, m.id)
 		}
@@ -698,11 +699,13 @@
 	return lost
 }
 
-// moveServices tries to pack a machine's services into the slots.
-func moveServices(d *dispatcher, m *machine, slots []*slot) bool {
+// canMove tries to pack a machine's services into the slots, and with saving
+// also what would be stopped because it can save its progress. The rest may
+// finish, or waits for room.
+func (d *dispatcher) canMove(m *machine, slots []*slot, saving bool) bool {
 	for _, a := range m.sortedAttempts() {
-		if !a.job.spec.Service {
-			continue // may finish, or waits for room
+		if !a.job.spec.Service && !(saving && a.job.spec.CheckpointS > 0) {
+			continue
 		}
 		counts := a.job.zoneCounts()
 		counts[m.zone]--
