--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -139,6 +139,36 @@
 	return tasks, squares, now.Sub(since).Seconds()
 }
 
+// onFullest counts by class the services on the machine whose loss would cost
+// the most room: there should be room for them elsewhere.
+func (d *dispatcher) onFullest() map[string]int {
+	var fullest *machine
+	most := 0.0
+	for _, m := range d.sortedMachines() {
+		if m.typ == nil || !m.heard {
+			continue
+		}
+		room := storage.Room{}
+		for _, a := range m.attempts {
+			if a.job.spec.Service {
+				room = room.Plus(a.job.spec.Room)
+			}
+		}
+		if room.GPUs > most {
+			fullest, most = m, room.GPUs
+		}
+	}
+	out := make(map[string]int)
+	if fullest != nil {
+		for _, a := range fullest.attempts {
+			if a.job.spec.Service && a.job.spec.Room.GPUs > 0 {
+				out[a.job.spec.Class]++
+			}
+		}
+	}
+	return out
+}
+
 // present counts a class's booked and waiting tasks.
 func (d *dispatcher) present(class string) int {
 	n := 0
@@ -287,9 +317,10 @@
 		names = append(names, n)
 	}
 	sort.Strings(names)
+	fullest := d.onFullest()
 	for _, n := range names {
 		c := d.classes[n]
-		if k := d.reserve(c, now); k > 0 {
+		if k := max(d.reserve(c, now), fullest[n]); k > 0 {
 			out = append(out, &demand{job: modelOf(c.last), counts: map[string]int{}, n: k, kept: true})
 		}
 	}
