Shorten the leader's grant to 0.08 of the workers' lease

Cause: after a leader's crash users and starts wait for its grant to run out; only the state service may end it (a refused connection proves nothing).

--- a/internal/coordination/settings.go
+++ b/internal/coordination/settings.go
@@ -69,7 +69,7 @@
 	upPerReport     = 0.3 // DESIGN starts at 10 s
 	downPerLease    = 1.0
 	coolPerLease    = 0.25
-	leaderPerLease  = 0.12
+	leaderPerLease  = 0.08
 	growStepDefault = 4
 	reserveDefault  = 1.0
 
