A new token before reports grow too large; preemption without a dead answer

The leader now gives up its term at 256 of them; its successor may forget them. Found by reading the code; the story runs 1500 tasks through a few machines.

--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -468,6 +468,7 @@
 		d.failWaiting(Unavailable("", "state service slow or out of reach"))
 	}
 	d.expire(now)
+	d.renewToken(now)
 	d.place = true
 	if now.Sub(d.lastView) >= scale(d.settings.Report, viewPerReport) {
 		d.lastView = now
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -40,9 +40,8 @@
 
 // view is what request handlers need to know, replaced as a whole.
 type view struct {
-	role  Role
-	desk  *dispatcher // only while leading with the state loaded
-	since time.Time
+	role Role
+	desk *dispatcher // only while leading with the state loaded
 }
 
 // NewNode makes a node; Run starts it.
@@ -113,15 +112,10 @@
 }
 
 func (n *Node) publish(role Role, desk *dispatcher) {
-	cur := n.view.Load()
-	since := cur.since
-	if cur.role.Leader != role.Leader || cur.role.Term != role.Term {
-		since = time.Now()
-	}
 	if desk != nil && desk.term != role.Term {
 		desk = nil
 	}
-	n.view.Store(&view{role: role, desk: desk, since: since})
+	n.view.Store(&view{role: role, desk: desk})
 	if desk != nil {
 		desk.post(roleMsg{role})
 	}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -53,10 +53,8 @@
 			}
 			m := d.choose(j, ready, now)
 			if m == nil {
-				if !d.preempt(j, ready, now) {
-					break
-				}
-				continue
+				d.preempt(j, ready, now)
+				break
 			}
 			booked = append(booked, d.book(j, task, m, now))
 		}
@@ -243,10 +241,10 @@
 }
 
 // preempt makes room for a task by stopping work of lower priority on the
-// machine where that costs least. It tells whether room was made at once.
-func (d *dispatcher) preempt(j *job, ready []*machine, now time.Time) bool {
+// machine where that costs least. The task is placed once that is gone.
+func (d *dispatcher) preempt(j *job, ready []*machine, now time.Time) {
 	if j.spec.Priority <= storage.BestEffort {
-		return false
+		return
 	}
 	counts := j.zoneCounts()
 	var best []*attempt
@@ -261,15 +259,13 @@
 			best, bestCost = victims, cost
 		}
 	}
-	made := false
 	for _, v := range best {
 		d.log.Debug("preempt", "job", v.job.spec.ID, "task", v.task, "machine", v.on.id, "for", j.spec.ID)
 		d.stop(v, v.job.spec.SaveS)
 	}
 	if len(best) > 0 {
-		d.orderStopsOn(best[0].on)
+		d.stopSeen(best[0].on)
 	}
-	return made
 }
 
 // victims chooses tasks of lower priority on m whose end makes room for a task
@@ -320,9 +316,6 @@
 	return size * (1 + ran)
 }
 
-// orderStopsOn tells one worker directly what to stop.
-func (d *dispatcher) orderStopsOn(m *machine) { d.stopSeen(m) }
-
 // failed weighs a task's failure between its job and its machine: a job that
 // fails on several machines waits longer each time and leaves them alone; a
 // machine on which several jobs fail is left alone for a while.
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -44,7 +44,7 @@
 }
 
 func (d *dispatcher) stepDown(reason string) {
-	d.log.Error("stepping down", "reason", reason)
+	d.log.Info("stepping down", "reason", reason)
 	d.role.Certain, d.role.HoldOut = time.Time{}, time.Time{}
 	select {
 	case d.resign <- d.term:
@@ -392,6 +392,7 @@
 	}
 }
 
+// stopSeen tells one worker directly what to stop.
 func (d *dispatcher) stopSeen(m *machine) {
 	var orders []Order
 	for _, a := range m.sortedAttempts() {
@@ -435,3 +436,21 @@
 	}
 	return bound
 }
+
+// taintLimit is how many ended attempts a worker may have to remember for us.
+// A report must stay well under the 64 KiB of a request.
+const taintLimit = 256
+
+// renewToken gives up the lead once some worker has to remember too much: under
+// the next term's token all earlier direct starts are void and may be forgotten.
+func (d *dispatcher) renewToken(now time.Time) {
+	if !d.certain(now) || now.Sub(d.began) < d.settings.Lease {
+		return
+	}
+	for _, m := range d.machines {
+		if len(m.tainted) >= taintLimit {
+			d.stepDown("a new token lets ended attempts be forgotten")
+			return
+		}
+	}
+}
--- a/internal/coordination/stories_test.go
+++ b/internal/coordination/stories_test.go
@@ -446,3 +446,22 @@
 		}
 	})
 }
+
+// Workers must remember attempts that were started directly; a new token ends
+// that before their reports grow too large.
+func TestReportsStayBoundedOverManyTasks(t *testing.T) {
+	inWorld(t, func(w *world) {
+		s := sweep("000001", 1500)
+		s.Room = storage.Room{CPUs: 0.1, MemoryGB: 0.1}
+		s.EstimateS = 2
+		w.submit(s)
+		w.eventually("the sweep is done", 30*time.Minute, func() bool {
+			for _, wk := range w.all() {
+				if n := len(wk.report().Tasks); n > 2*taintLimit {
+					t.Fatalf("a report of %d tasks", n)
+				}
+			}
+			return w.poll("000001").State == StateDone
+		})
+	})
+}
