--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -216,7 +216,9 @@
 	case v.role.Leading:
 		return BeatAnswer{Busy: true}
 	}
-	if v.role.Leader != "" && n.useMail(v) {
+	if v.role.Leader != "" && n.deps.Peers.Unheard(v.role.Leader) > 0 {
+		// Naming a leader that is out of reach would cost the worker seconds
+		// of its lease.
 		return n.mail.beat(ctx, r)
 	}
 	return BeatAnswer{Leader: v.role.Leader}
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -55,9 +55,8 @@
 	for _, peer := range peers {
 		l := &link{
 			addr: peer.Addr, calls: make(chan call, peerQueue), events: make(chan any, peerQueue),
-			log: log.With("peer", peer.Name),
+			log: log.With("peer", peer.Name), made: time.Now(),
 		}
-		l.heard.Store(time.Now())
 		p.links[peer.Name] = l
 	}
 	return p
@@ -99,7 +98,15 @@
 	if l == nil {
 		return 0
 	}
-	if d := time.Since(l.heard.Load().(time.Time)); d > pingMissed {
+	heard, ok := l.heard.Load().(time.Time)
+	if !ok {
+		// Never heard, maybe because a cut is older than this process.
+		if d := time.Since(l.made); d > pingPause {
+			return d
+		}
+		return 0
+	}
+	if d := time.Since(heard); d > pingMissed {
 		return d
 	}
 	return 0
@@ -123,6 +130,7 @@
 // link is the actor of one peer's connection.
 type link struct {
 	addr   string
+	made   time.Time
 	calls  chan call
 	events chan any
 	log    *slog.Logger
@@ -145,6 +153,7 @@
 	l.pending = make(map[uint64]pendingCall)
 	tick := time.NewTicker(pingPause)
 	defer tick.Stop()
+	l.ping(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -167,11 +176,16 @@
 			}
 		case <-tick.C:
 			l.expire(time.Now())
-			l.send(ctx, call{req: coordination.UserRequest{Op: coordination.OpPing}, reply: make(chan result, 1)})
+			l.ping(ctx)
 		}
 	}
 }
 
+// ping tests the link.
+func (l *link) ping(ctx context.Context) {
+	l.send(ctx, call{req: coordination.UserRequest{Op: coordination.OpPing}, reply: make(chan result, 1)})
+}
+
 func (l *link) send(ctx context.Context, c call) {
 	if l.conn == nil {
 		if time.Now().Before(l.downTill) {
