--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -107,8 +107,8 @@
 		return 0
 	}
 	tasks, squares, window := d.rate(c, now)
-	if window == 0 {
-		return 0
+	if window == 0 || d.present(s.Class) == 0 {
+		return 0 // no rate yet, or a class that has ceased
 	}
 	luck := d.settings.Tuning.Reserve
 	if batch {
--- a/internal/coordination/stories_test.go
+++ b/internal/coordination/stories_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -465,3 +466,24 @@
 		})
 	})
 }
+
+// Room is kept for what is expected; a class that has ceased expects nothing.
+func TestAnIdleFleetIsGivenBack(t *testing.T) {
+	inWorld(t, func(w *world) {
+		for i := range 12 {
+			w.submit(service(fmt.Sprintf("%06d", i), 1))
+			time.Sleep(10 * time.Second)
+		}
+		for i := range 12 {
+			w.cancel(fmt.Sprintf("%06d", i))
+		}
+		w.eventually("all machines are given back", 90*time.Second, func() bool {
+			for _, wk := range w.all() {
+				if !wk.dead {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -129,7 +129,11 @@
 		if errors.As(err, &de) {
 			row, _ := de.Position()
 			field := strings.Join(de.Key(), ".")
-			return nil, &FieldError{file, field, fmt.Sprintf("line %d: %s", row, reason(err))}
+			why := reason(err)
+			if strings.Contains(why, "cannot decode") {
+				why = "is of the wrong type"
+			}
+			return nil, &FieldError{file, field, fmt.Sprintf("line %d: %s", row, why)}
 		}
 		return nil, &FieldError{File: file, Reason: reason(err)}
 	}
