Placement and fleet looks cost little at size; a step at most doubles the fleet

Each message began a round of placement, each waiting task searched all machines and then sorted every machine's attempts for preemption, and each look at the fleet repeated a packing for each machine that might be returned. A step rents at most the operators' figure or as many as the fleet has. Hedges for late boots grow with the square root beyond a few machines. Ruled out: memory (44 MB at most), sockets (600 of 1,000), the state service's budgets (no request refused).

--- a/internal/coordination/capacity.go
+++ b/internal/coordination/capacity.go
@@ -259,7 +259,7 @@
 	var order []offer
 	n := 0
 	for _, o := range v.wants {
-		if n == c.settings.Tuning.GrowStep {
+		if n == c.settings.Tuning.growBound(v.size) {
 			break
 		}
 		if counts[o] == 0 {
--- /dev/null
+++ b/internal/coordination/classes.go
@@ -0,0 +1,180 @@
+package coordination
+
+import (
+	"math"
+	"time"
+
+	"sagevale/internal/storage"
+)
+
+// class keeps what arrivals and run times of a class of jobs look like.
+type class struct {
+	last     *job
+	arrivals []arrival
+	runS     float64 // mean run time of its tasks, as seen
+}
+
+type arrival struct {
+	at    time.Time
+	tasks int
+}
+
+const (
+	// rateLeases is the window of the arrival rate, in worker leases.
+	rateLeases = 8.0
+	// runWeight is the weight of the latest run time in a class's mean.
+	runWeight = 0.05
+)
+
+// arrival notes a job of its class. What comes within a lease of the first job
+// ever is the fleet's start, not a rate.
+func (d *dispatcher) arrival(j *job) {
+	c := d.classes[j.spec.Class]
+	if c == nil {
+		c = &class{}
+		d.classes[j.spec.Class] = c
+	}
+	if d.firstJob.IsZero() || j.submitted.Before(d.firstJob) {
+		d.firstJob = j.submitted
+	}
+	c.last = j
+	if len(c.arrivals) >= arrivalsKept {
+		c.arrivals = c.arrivals[1:]
+	}
+	c.arrivals = append(c.arrivals, arrival{j.submitted, j.spec.Tasks})
+}
+
+// arrivalsKept bounds what is kept of a class's arrivals.
+const arrivalsKept = 512
+
+// ran takes a finished task's run time into its class's mean.
+func (d *dispatcher) ran(a *attempt, now time.Time) {
+	c := d.classes[a.job.spec.Class]
+	if c == nil || a.started.IsZero() {
+		return
+	}
+	run := now.Sub(a.started).Seconds()
+	if c.runS == 0 {
+		c.runS = run
+	}
+	c.runS += runWeight * (run - c.runS)
+}
+
+// runTime is how long a task of the job runs, by what was seen of its class.
+func (d *dispatcher) runTime(j *job) float64 {
+	if c := d.classes[j.spec.Class]; c != nil && c.runS > 0 {
+		return c.runS
+	}
+	return j.spec.EstimateS
+}
+
+// reserve is how many tasks of the class to keep room for. Of services, those
+// expected to come while a machine boots, and some for luck. Of other work of
+// some priority that may use spot machines, what its usual number of running
+// tasks, and some for luck, exceeds the present one by.
+func (d *dispatcher) reserve(c *class, now time.Time) int {
+	s := &c.last.spec
+	batch := !s.Service
+	if s.Priority < storage.High && !(batch && s.Spot && s.Priority >= storage.Normal) {
+		return 0
+	}
+	tasks, squares, window := d.rate(c, now)
+	if window == 0 || d.present(s.Class) == 0 {
+		return 0 // no rate yet, or a class that has ceased
+	}
+	luck := d.settings.Tuning.Reserve
+	if batch {
+		run := d.runTime(c.last) / window
+		usual := tasks*run + luck*math.Sqrt(squares*run)
+		return max(0, int(usual)-d.present(s.Class))
+	}
+	boot := d.leastBoot(c.last) / window
+	return int(math.Ceil(tasks*boot + luck*math.Sqrt(squares*boot) - 0.5))
+}
+
+// rate counts a class's tasks, and the sum of their jobs' squares, that came
+// within a window of so many seconds. The window is 0 until there is one.
+func (d *dispatcher) rate(c *class, now time.Time) (tasks, squares, window float64) {
+	since := now.Add(-scale(d.settings.Lease, rateLeases))
+	if start := d.firstJob.Add(d.settings.Lease); start.After(since) {
+		since = start
+	}
+	if now.Sub(since) < d.settings.Lease {
+		return 0, 0, 0
+	}
+	for _, a := range c.arrivals {
+		if a.at.After(since) {
+			tasks += float64(a.tasks)
+			squares += float64(a.tasks * a.tasks)
+		}
+	}
+	return tasks, squares, now.Sub(since).Seconds()
+}
+
+// onFullest counts by class the services on the machine whose loss would cost
+// the most room: there should be room for them elsewhere.
+func (d *dispatcher) onFullest() map[string]int {
+	var fullest *machine
+	most := 0.0
+	for _, m := range d.order {
+		if m.typ == nil || !m.heard {
+			continue
+		}
+		room := storage.Room{}
+		for _, a := range m.attempts {
+			if a.job.spec.Service {
+				room = room.Plus(a.job.spec.Room)
+			}
+		}
+		if room.GPUs > most {
+			fullest, most = m, room.GPUs
+		}
+	}
+	out := make(map[string]int)
+	if fullest != nil {
+		for _, a := range fullest.attempts {
+			if a.job.spec.Service && a.job.spec.Room.GPUs > 0 {
+				out[a.job.spec.Class]++
+			}
+		}
+	}
+	return out
+}
+
+// present counts a class's booked and waiting tasks.
+func (d *dispatcher) present(class string) int {
+	n := 0
+	for _, j := range d.open {
+		if j.spec.Class == class && j.phase == storage.Open {
+			n += len(j.attempts) + j.waiting
+		}
+	}
+	return n
+}
+
+// leastBoot is the least boot time of the types that hold a task.
+func (d *dispatcher) leastBoot(j *job) float64 {
+	boot := 0.0
+	for _, name := range d.fitsOf(j) {
+		if b := d.types[name].BootS; boot == 0 || b < boot {
+			boot = b
+		}
+	}
+	return boot
+}
+
+// perGPU is the most CPUs and memory that open jobs take with an accelerator.
+func (d *dispatcher) perGPU() storage.Room {
+	if d.gpuNeedAt.IsZero() || time.Since(d.gpuNeedAt) > d.settings.Report {
+		d.gpuNeedAt = time.Now()
+		var need storage.Room
+		for _, j := range d.open {
+			if g := j.spec.Room.GPUs; g > 0 {
+				need.CPUs = max(need.CPUs, j.spec.Room.CPUs/g)
+				need.MemoryGB = max(need.MemoryGB, j.spec.Room.MemoryGB/g)
+			}
+		}
+		d.gpuNeed = need
+	}
+	return d.gpuNeed
+}
--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -18,6 +18,8 @@
 	tickPerReport = 0.15
 	// viewPerReport is how often the fleet is looked at, in report intervals.
 	viewPerReport = 0.25
+	// viewRest is the least pause between two looks, in durations of a look.
+	viewRest = 10
 	// stallPerReport is how long a commit may take, in report intervals,
 	// before those who wait for it are told to come back.
 	stallPerReport = 0.35
@@ -48,6 +50,7 @@
 	jobs      map[string]*job
 	open      map[string]*job // open jobs, or final ones with attempts left
 	machines  map[int]*machine
+	order     []*machine // the same, by number
 	books     *storage.Books
 	classes   map[string]*class
 	hires     map[string]storage.HireRecord // open at the take-over
@@ -63,16 +66,15 @@
 	openTasks int       // tasks kept in memory
 	commitAt  time.Time // when the commit under way began; zero: none
 	place     bool      // something changed that placement should look at
-	lastView  time.Time
 
 	listed     bool         // the cloud's list has been seen in this term
 	goneBefore map[int]bool // machines whose return the cloud has confirmed
 	gpuNeed    storage.Room
 	gpuNeedAt  time.Time
 	firstJob   time.Time // when the first job ever came
-	behind     int       // tasks of ending work left over in the trial packing under way
-	spareNow   int       // the machine that could be returned, as last found
-	lastSpare  time.Time
+	spareFrom  int       // where the search for a machine to return goes on
+	roundAt    time.Time // placement rests until then
+	viewAt     time.Time // the next look at the fleet
 }
 
 // Messages to the dispatcher.
@@ -184,10 +186,10 @@
 		if _, err := fmt.Sscan(rest, &id); err != nil {
 			return err
 		}
-		m := newMachine(id, d.began)
+		m := d.machine(id)
+		m.born = d.began
 		m.addr, m.kind, m.zone, m.spot, m.session = rec.Addr, rec.Type, rec.Zone, rec.Spot, rec.Session
 		m.returning, m.recorded, m.typ = rec.Returning, true, d.types[rec.Type]
-		d.machines[id] = m
 	case storage.KindJob:
 		var rec storage.JobRecord
 		if err := json.Unmarshal(r.Data, &rec); err != nil {
@@ -244,16 +246,6 @@
 	}
 }
 
-// machine returns the machine of that number, made known if need be.
-func (d *dispatcher) machine(id int) *machine {
-	m := d.machines[id]
-	if m == nil {
-		m = newMachine(id, time.Now())
-		d.machines[id] = m
-	}
-	return m
-}
-
 func (d *dispatcher) setTypes(types []storage.MachineType) {
 	d.types = make(map[string]*storage.MachineType, len(types))
 	d.typeNames = d.typeNames[:0]
@@ -330,6 +322,8 @@
 	d.spreadToken()
 	tick := time.NewTicker(scale(d.settings.Report, tickPerReport))
 	defer tick.Stop()
+	rest := time.NewTimer(0) // ends placement's rest
+	defer rest.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -342,14 +336,31 @@
 			}
 		case <-tick.C:
 			d.tick()
+		case <-rest.C:
 		}
 		if d.place {
-			d.placeRound()
+			d.paceRound(rest)
 		}
 		d.flush()
 	}
 }
 
+// paceRound holds a round of placement, unless the last one cost so much that
+// placement still rests; then the timer wakes it.
+func (d *dispatcher) paceRound(rest *time.Timer) {
+	now := time.Now()
+	if now.Before(d.roundAt) {
+		rest.Reset(d.roundAt.Sub(now))
+		return
+	}
+	d.placeRound(now)
+	end := time.Now()
+	d.roundAt = end.Add(roundRest * end.Sub(now))
+	if d.place {
+		rest.Reset(d.roundAt.Sub(end))
+	}
+}
+
 func (d *dispatcher) handle(m any) {
 	switch m := m.(type) {
 	case roleMsg:
@@ -470,10 +481,10 @@
 	d.expire(now)
 	d.renewToken(now)
 	d.place = true
-	if now.Sub(d.lastView) >= scale(d.settings.Report, viewPerReport) {
-		d.lastView = now
+	if !now.Before(d.viewAt) {
 		v := d.fleetView(now)
 		d.giveBack(append(append(v.emptied, v.lost...), d.lostStrangers(now)...))
 		d.capacity.post(viewMsg{v})
+		d.viewAt = now.Add(max(scale(d.settings.Report, viewPerReport), viewRest*time.Since(now)))
 	}
 }
--- a/internal/coordination/machine.go
+++ b/internal/coordination/machine.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -115,3 +116,28 @@
 	sort.Slice(out, func(x, y int) bool { return out[x].try < out[y].try })
 	return out
 }
+
+// machine returns the machine of that number, made known if need be.
+func (d *dispatcher) machine(id int) *machine {
+	m := d.machines[id]
+	if m == nil {
+		m = newMachine(id, time.Now())
+		d.machines[id] = m
+		i, _ := d.position(id)
+		d.order = slices.Insert(d.order, i, m)
+	}
+	return m
+}
+
+// dropMachine forgets a machine.
+func (d *dispatcher) dropMachine(m *machine) {
+	delete(d.machines, m.id)
+	if i, ok := d.position(m.id); ok {
+		d.order = slices.Delete(d.order, i, i+1)
+	}
+}
+
+// position finds a machine in the order by number, or where it would stand.
+func (d *dispatcher) position(id int) (int, bool) {
+	return slices.BinarySearchFunc(d.order, id, func(m *machine, id int) int { return m.id - id })
+}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -13,53 +13,48 @@
 	// scanLimit bounds the tasks placed in one round, so that a flood of
 	// tasks doesn't hold up the answers to workers.
 	scanLimit = 512
+	// roundRest is how long placement rests after a round, in durations of
+	// that round: what comes meanwhile widens the next.
+	roundRest = 4
 )
 
+// round is one round of placement: the ready machines' room, and what has been
+// learnt of it so far.
+type round struct {
+	now    time.Time
+	slots  []*slot
+	zones  []string
+	dry    dryness // shapes that found no free room
+	hard   dryness // shapes for which nothing can be stopped either
+	booked []*attempt
+}
+
 // placeRound books room for waiting tasks, the most urgent first, and starts
 // them once the bookings are durable.
-func (d *dispatcher) placeRound() {
+func (d *dispatcher) placeRound(now time.Time) {
 	d.place = false
-	now := time.Now()
 	if !d.certain(now) || d.stalled(now) {
 		return
 	}
-	var waiting []*job
-	for _, j := range d.open {
-		if j.phase == storage.Open && j.waiting > 0 && !now.Before(j.pauseTill) {
-			waiting = append(waiting, j)
-		}
-	}
+	waiting := d.waitingJobs(now)
 	if len(waiting) == 0 {
 		return
 	}
 	d.byUrgency(waiting, now)
-	ready := make([]*machine, 0, len(d.machines))
-	for _, m := range d.machines {
-		if m.ready(now, d.settings.fresh()) {
-			ready = append(ready, m)
-		}
-	}
-	sortMachines(ready)
-	var booked []*attempt
+	r := &round{now: now, slots: d.readySlots(now), dry: make(dryness), hard: make(dryness)}
+	r.zones = zonesOf(r.slots)
 	for _, j := range waiting {
-		if j.spec.Gang {
-			booked = append(booked, d.placeGang(j, ready, now)...)
-			continue
+		if len(r.booked) >= scanLimit {
+			d.place = true // the rest in the next round
+			break
 		}
-		for n := j.tries(); n > 0 && len(booked) < scanLimit; n-- {
-			task, ok := j.nextWaiting()
-			if !ok || !d.withinLimit(j) {
-				break
-			}
-			m := d.choose(j, ready, now)
-			if m == nil {
-				d.preempt(j, ready, now)
-				break
-			}
-			booked = append(booked, d.book(j, task, m, now))
+		if j.spec.Gang {
+			d.placeGang(j, r)
+		} else {
+			d.placeJob(j, r)
 		}
 	}
-	if len(booked) > 0 {
+	if booked := r.booked; len(booked) > 0 {
 		d.onCommit(func(err error) {
 			if err == nil {
 				d.start(booked)
@@ -68,32 +63,67 @@
 	}
 }
 
+// waitingJobs lists the open jobs with tasks to place.
+func (d *dispatcher) waitingJobs(now time.Time) []*job {
+	var waiting []*job
+	for _, j := range d.open {
+		if j.phase == storage.Open && j.waiting > 0 && !now.Before(j.pauseTill) {
+			waiting = append(waiting, j)
+		}
+	}
+	return waiting
+}
+
+// placeJob places what it can of a job's tasks, or makes room for them.
+func (d *dispatcher) placeJob(j *job, r *round) {
+	zones := newZoneCheck(j)
+	for n := j.tries(); n > 0 && len(r.booked) < scanLimit; n-- {
+		task, ok := j.nextWaiting()
+		if !ok || !d.withinLimit(j) {
+			return
+		}
+		if s := d.choose(j, r, &zones); s != nil {
+			r.booked = append(r.booked, d.bookOn(j, task, s, r.now))
+			zones.add(s.zone, 1)
+			continue
+		}
+		zone, ok := d.preempt(j, r, &zones)
+		if !ok {
+			return
+		}
+		zones.add(zone, 1) // claimed there
+	}
+}
+
 // placeGang books room for all tasks of a gang, or for none: it only goes when
 // every task holds booked room.
-func (d *dispatcher) placeGang(j *job, ready []*machine, now time.Time) []*attempt {
+func (d *dispatcher) placeGang(j *job, r *round) {
 	if len(j.attempts) > 0 {
-		return nil // an earlier gathering isn't over everywhere
+		return // an earlier gathering isn't over everywhere
 	}
+	zones := newZoneCheck(j)
 	var booked []*attempt
 	for j.waiting > 0 {
 		task, ok := j.nextWaiting()
-		var m *machine
+		var s *slot
 		if ok && d.withinLimit(j) {
-			m = d.choose(j, ready, now)
+			s = d.choose(j, r, &zones)
 		}
-		if m == nil {
+		if s == nil {
 			for _, a := range booked {
 				d.free(a, "no room for the whole gang")
 			}
-			return nil
+			r.slots = d.readySlots(r.now)
+			return
 		}
-		booked = append(booked, d.book(j, task, m, now))
+		booked = append(booked, d.bookOn(j, task, s, r.now))
+		zones.add(s.zone, 1)
 	}
 	// The workers gather the tasks of one try.
 	for _, a := range booked {
 		a.try = d.nextTry
 	}
-	return booked
+	r.booked = append(r.booked, booked...)
 }
 
 // regather stops what is left of a gang that has lost a task.
@@ -113,6 +143,12 @@
 	return team != nil && storage.Within(d.books.Team(j.spec.Team).Plus(j.spec.Room), team.Limit)
 }
 
+// bookOn enters an attempt and takes its room from the slot.
+func (d *dispatcher) bookOn(j *job, task int, s *slot, now time.Time) *attempt {
+	s.free = s.free.Minus(j.spec.Room)
+	return d.book(j, task, s.on, now)
+}
+
 // book enters an attempt; it may start once its page is durable.
 func (d *dispatcher) book(j *job, task int, m *machine, now time.Time) *attempt {
 	d.nextTry++
@@ -150,37 +186,41 @@
 	}
 }
 
-// eligible tells whether a task of the job may start on the machine now.
-func (d *dispatcher) eligible(j *job, m *machine, counts map[string]int) bool {
-	s := &j.spec
-	return (!m.spot || s.Spot) && m.zone != "" && allowed(s.Types, m.kind) &&
-		j.zoneAllows(m.zone, counts) && s.Room.Fits(m.typ.Room.Minus(d.books.Machine(m.id)))
+// admits tells whether the kind of machine and its zone suit a task of the job.
+func (s *slot) admits(j *job, zones *zoneCheck) bool {
+	return (!s.spot || j.spec.Spot) && s.zone != "" && allowed(j.spec.Types, s.kind) && zones.allows(s.zone)
 }
 
 // choose picks a machine by the power of two choices among the best kind of
 // eligible machines.
-func (d *dispatcher) choose(j *job, ready []*machine, now time.Time) *machine {
-	counts := j.zoneCounts()
-	best, tier := []*machine(nil), 0
-	for _, m := range ready {
-		if !d.eligible(j, m, counts) {
+func (d *dispatcher) choose(j *job, r *round, zones *zoneCheck) *slot {
+	sh := j.shape()
+	from := r.dry.from(sh, zones, r.zones)
+	if from >= len(r.slots) {
+		return nil
+	}
+	var best []*slot
+	tier := 0
+	for _, s := range r.slots[from:] {
+		if !j.spec.Room.Fits(s.free) || !s.admits(j, zones) {
 			continue
 		}
-		t := d.tier(j, m, now)
+		t := d.tier(j, s)
 		switch {
 		case best == nil || t < tier:
-			best, tier = append(best[:0], m), t
+			best, tier = append(best[:0], s), t
 		case t == tier:
-			best = append(best, m)
+			best = append(best, s)
 		}
 	}
 	if len(best) == 0 {
+		r.dry.note(sh, zones, r.zones, len(r.slots))
 		return nil
 	}
 	pick := best[d.rand.IntN(len(best))]
 	for i := 1; i < samples; i++ {
-		if o := best[d.rand.IntN(len(best))]; d.fuller(o, pick, j) {
-			pick = o
+		if o := best[d.rand.IntN(len(best))]; o.freeShare(j) < pick.freeShare(j) {
+			pick = o // the fuller, to pack
 		}
 	}
 	return pick
@@ -195,21 +235,21 @@
 	tierTrouble                     // tasks have failed here lately
 )
 
-func (d *dispatcher) tier(j *job, m *machine, now time.Time) int {
+func (d *dispatcher) tier(j *job, s *slot) int {
 	t := 0
-	if j.spec.Room.GPUs == 0 && m.typ.Room.GPUs == 0 {
+	if j.spec.Room.GPUs == 0 && s.typ.Room.GPUs == 0 {
 		t |= tierSmall
 	}
-	if j.spec.Spot && !m.spot {
+	if j.spec.Spot && !s.spot {
 		t |= tierOrdinaryForSpot
 	}
-	if _, ok := m.images[j.spec.Image]; !ok {
+	if _, ok := s.on.images[j.spec.Image]; !ok {
 		t |= tierImage
 	}
-	if d.strands(j, m) {
+	if d.strands(j, s) {
 		t |= tierStrands
 	}
-	if m.failures > 0 || m.lapses > 0 {
+	if s.on.failures > 0 || s.on.lapses > 0 {
 		t |= tierTrouble
 	}
 	return t
@@ -217,103 +257,21 @@
 
 // strands tells whether a task without accelerators would leave too little of
 // the rest for the tasks that need the machine's free ones.
-func (d *dispatcher) strands(j *job, m *machine) bool {
-	if j.spec.Room.GPUs > 0 || m.typ.Room.GPUs == 0 {
+func (d *dispatcher) strands(j *job, s *slot) bool {
+	if j.spec.Room.GPUs > 0 || s.typ.Room.GPUs == 0 {
 		return false
 	}
-	free := m.typ.Room.Minus(d.books.Machine(m.id))
 	need := d.perGPU()
-	left := free.Minus(j.spec.Room)
-	return left.CPUs < need.CPUs*free.GPUs || left.MemoryGB < need.MemoryGB*free.GPUs
-}
-
-// fuller prefers the machine with less room left, to pack.
-func (d *dispatcher) fuller(a, b *machine, j *job) bool {
-	return d.freeShare(a, j) < d.freeShare(b, j)
+	left := s.free.Minus(j.spec.Room)
+	return left.CPUs < need.CPUs*s.free.GPUs || left.MemoryGB < need.MemoryGB*s.free.GPUs
 }
 
-func (d *dispatcher) freeShare(m *machine, j *job) float64 {
-	free := m.typ.Room.Minus(d.books.Machine(m.id))
-	if j.spec.Room.GPUs > 0 && m.typ.Room.GPUs > 0 {
-		return free.GPUs / m.typ.Room.GPUs
-	}
-	return free.CPUs / m.typ.Room.CPUs
-}
-
-// preempt makes room for a task by stopping work of lower priority on the
-// machine where that costs least. The task is placed once that is gone.
-func (d *dispatcher) preempt(j *job, ready []*machine, now time.Time) {
-	if j.spec.Priority <= storage.BestEffort {
-		return
-	}
-	counts := j.zoneCounts()
-	var best []*attempt
-	bestCost := 0.0
-	for _, m := range ready {
-		s := &j.spec
-		if (m.spot && !s.Spot) || !allowed(s.Types, m.kind) || !j.zoneAllows(m.zone, counts) || !s.Room.Fits(m.typ.Room) {
-			continue
-		}
-		victims, cost, ok := d.victims(j, m, now)
-		if ok && (best == nil || cost < bestCost) {
-			best, bestCost = victims, cost
-		}
-	}
-	for _, v := range best {
-		d.log.Debug("preempt", "job", v.job.spec.ID, "task", v.task, "machine", v.on.id, "for", j.spec.ID)
-		d.stop(v, v.job.spec.SaveS)
-	}
-	if len(best) > 0 {
-		d.stopSeen(best[0].on)
-	}
-}
-
-// victims chooses tasks of lower priority on m whose end makes room for a task
-// of j, the cheapest to lose first. Room that is being freed already counts:
-// then there is nothing to stop.
-func (d *dispatcher) victims(j *job, m *machine, now time.Time) ([]*attempt, float64, bool) {
-	free := m.typ.Room.Minus(d.books.Machine(m.id))
-	var lower []*attempt
-	for _, a := range m.sortedAttempts() {
-		switch {
-		case a.stop:
-			free = free.Plus(a.job.spec.Room)
-		case a.job.spec.Priority < j.spec.Priority:
-			lower = append(lower, a)
-		}
-	}
-	if j.spec.Room.Fits(free) {
-		return nil, 0, true
-	}
-	var out []*attempt
-	cost := 0.0
-	for len(lower) > 0 && !j.spec.Room.Fits(free) {
-		k := 0
-		for i := range lower {
-			if lossOf(lower[i], now) < lossOf(lower[k], now) {
-				k = i
-			}
-		}
-		a := lower[k]
-		lower = append(lower[:k], lower[k+1:]...)
-		out = append(out, a)
-		cost += lossOf(a, now)
-		free = free.Plus(a.job.spec.Room)
-	}
-	return out, cost, j.spec.Room.Fits(free)
-}
-
-// lossOf is the work lost if an attempt is stopped, in machine seconds.
-func lossOf(a *attempt, now time.Time) float64 {
-	size := max(a.job.spec.Room.CPUs, 1) + 16*a.job.spec.Room.GPUs
-	if !a.seen || a.state == Pulling {
-		return size
-	}
-	ran := now.Sub(a.started).Seconds()
-	if a.job.spec.CheckpointS > 0 {
-		ran = min(ran, a.job.spec.SaveS)
+// freeShare is how much of what matters to the job is free.
+func (s *slot) freeShare(j *job) float64 {
+	if j.spec.Room.GPUs > 0 && s.typ.Room.GPUs > 0 {
+		return s.free.GPUs / s.typ.Room.GPUs
 	}
-	return size * (1 + ran)
+	return s.free.CPUs / s.typ.Room.CPUs
 }
 
 // failed weighs a task's failure between its job and its machine: a job that
--- /dev/null
+++ b/internal/coordination/preempt.go
@@ -0,0 +1,116 @@
+package coordination
+
+import (
+	"time"
+
+	"sagevale/internal/storage"
+)
+
+// preempt claims a machine for a task that finds no room: one where enough is
+// being freed already, or else the one where stopping work of lower priority
+// costs least. The task is placed once that is gone; until the round ends
+// nobody else counts on the claimed room. It returns the machine's zone.
+func (d *dispatcher) preempt(j *job, r *round, zones *zoneCheck) (zone string, ok bool) {
+	sh := j.shape()
+	if j.spec.Priority <= storage.BestEffort || r.hard.from(sh, zones, r.zones) >= len(r.slots) {
+		return "", false
+	}
+	var best *slot
+	var victims []*attempt
+	bestCost := 0.0
+	for _, s := range r.slots {
+		if !j.spec.Room.Fits(s.typ.Room) || !s.admits(j, zones) {
+			continue
+		}
+		v, cost, ok := s.victims(j, r.now)
+		if ok && (best == nil || cost < bestCost) {
+			best, victims, bestCost = s, v, cost
+		}
+		if best != nil && bestCost == 0 {
+			break
+		}
+	}
+	if best == nil {
+		r.hard.note(sh, zones, r.zones, len(r.slots))
+		return "", false
+	}
+	for _, v := range victims {
+		d.log.Debug("preempt", "job", v.job.spec.ID, "task", v.task, "machine", v.on.id, "for", j.spec.ID)
+		best.freeing = best.freeing.Plus(v.job.spec.Room)
+		d.stop(v, v.job.spec.SaveS)
+	}
+	best.claim(j.spec.Room)
+	if len(victims) > 0 {
+		d.stopSeen(best.on)
+	}
+	return best.zone, true
+}
+
+// claim takes room from what is free and what is being freed.
+func (s *slot) claim(r storage.Room) {
+	all := s.free.Plus(s.freeing).Minus(r)
+	s.free = storage.Room{CPUs: min(s.free.CPUs, all.CPUs), GPUs: min(s.free.GPUs, all.GPUs), MemoryGB: min(s.free.MemoryGB, all.MemoryGB)}
+	s.freeing = all.Minus(s.free)
+}
+
+// victims chooses tasks of lower priority in the slot whose end makes room for
+// a task of j, the cheapest to lose first. Room that is being freed already
+// counts: then there is nothing to stop.
+func (s *slot) victims(j *job, now time.Time) ([]*attempt, float64, bool) {
+	if !s.looked {
+		s.looked = true
+		for _, a := range s.on.attempts {
+			if a.stop {
+				s.freeing = s.freeing.Plus(a.job.spec.Room)
+			}
+		}
+	}
+	free := s.free.Plus(s.freeing)
+	if j.spec.Room.Fits(free) {
+		return nil, 0, true
+	}
+	most := free
+	for _, a := range s.on.attempts {
+		if !a.stop && a.job.spec.Priority < j.spec.Priority {
+			most = most.Plus(a.job.spec.Room)
+		}
+	}
+	if !j.spec.Room.Fits(most) {
+		return nil, 0, false
+	}
+	var lower []*attempt
+	for _, a := range s.on.sortedAttempts() {
+		if !a.stop && a.job.spec.Priority < j.spec.Priority {
+			lower = append(lower, a)
+		}
+	}
+	var out []*attempt
+	cost := 0.0
+	for len(lower) > 0 && !j.spec.Room.Fits(free) {
+		k := 0
+		for i := range lower {
+			if lossOf(lower[i], now) < lossOf(lower[k], now) {
+				k = i
+			}
+		}
+		a := lower[k]
+		lower = append(lower[:k], lower[k+1:]...)
+		out = append(out, a)
+		cost += lossOf(a, now)
+		free = free.Plus(a.job.spec.Room)
+	}
+	return out, cost, j.spec.Room.Fits(free)
+}
+
+// lossOf is the work lost if an attempt is stopped, in machine seconds.
+func lossOf(a *attempt, now time.Time) float64 {
+	size := max(a.job.spec.Room.CPUs, 1) + 16*a.job.spec.Room.GPUs
+	if !a.seen || a.state == Pulling {
+		return size
+	}
+	ran := now.Sub(a.started).Seconds()
+	if a.job.spec.CheckpointS > 0 {
+		ran = min(ran, a.job.spec.SaveS)
+	}
+	return size * (1 + ran)
+}
--- /dev/null
+++ b/internal/coordination/pressure.go
@@ -0,0 +1,312 @@
+package coordination
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"sagevale/internal/storage"
+)
+
+const (
+	// lateShare of the machines that waiting services count on is rented for
+	// once more, for some come late and some never; of many, luck evens out,
+	// and their square root is enough.
+	lateShare = 0.5
+)
+
+// demand is a group of alike tasks in a trial packing.
+type demand struct {
+	job   *job
+	zones zoneCheck
+	n     int
+	kept  bool    // room to keep, not a task
+	runS  float64 // run time of a task of other work than services
+}
+
+// demands lists the waiting tasks, most urgent first, then the room to keep.
+func (d *dispatcher) demands(now time.Time) []*demand {
+	waiting := d.waitingJobs(now)
+	d.byUrgency(waiting, now)
+	var out []*demand
+	teams := make(map[string]storage.Room)
+	for _, j := range waiting {
+		team := d.settings.team(j.spec.Team)
+		if team == nil {
+			continue
+		}
+		n := 0
+		for ; n < j.tries(); n++ {
+			used := d.books.Team(j.spec.Team).Plus(teams[j.spec.Team]).Plus(j.spec.Room)
+			if !storage.Within(used, team.Limit) {
+				break
+			}
+			teams[j.spec.Team] = teams[j.spec.Team].Plus(j.spec.Room)
+		}
+		if n > 0 {
+			dm := &demand{job: j, zones: newZoneCheck(j), n: n}
+			if !j.spec.Service {
+				dm.runS = d.runTime(j)
+			}
+			out = append(out, dm)
+		}
+	}
+	names := make([]string, 0, len(d.classes))
+	for n := range d.classes {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	fullest := d.onFullest()
+	for _, n := range names {
+		c := d.classes[n]
+		if k := max(d.reserve(c, now), fullest[n]); k > 0 {
+			out = append(out, keep(c.last, k))
+		}
+	}
+	return out
+}
+
+// modelOf returns a job like j whose tasks may be in any of its zones.
+func modelOf(j *job) *job {
+	model := &job{spec: j.spec, types: j.types, fits: j.fits}
+	model.spec.Spread, model.spec.SameZone = false, false
+	return model
+}
+
+// keep is a demand for room to keep, for n tasks like those of j.
+func keep(j *job, n int) *demand {
+	model := modelOf(j)
+	return &demand{job: model, zones: newZoneCheck(model), n: n, kept: true}
+}
+
+// packing is a trial packing of the demands into the machines' room.
+type packing struct {
+	slots []*slot
+	zones []string
+	dry   dryness
+	wants []offer // machines that would hold what found no slot
+	limit int     // the most that may be wanted
+	sizes map[string]int
+}
+
+// shortage packs the demands into the slots and finds the offers that would
+// hold what is left, cheapest for its share first. Work that ends needs no
+// machine of its own when the places that it has will take it before a new
+// machine were up.
+func (d *dispatcher) shortage(p *packing, demands []*demand, size int, now time.Time) {
+	p.zones, p.limit, p.sizes = zonesOf(p.slots), d.settings.Tuning.growBound(size), make(map[string]int)
+	for _, m := range d.order {
+		p.sizes[m.zone]++
+	}
+	e := &ending{places: d.batchPlaces(), usual: d.usualBatch(now)}
+	late := make(map[string]*lateness)
+	for i := 0; i < len(demands); i++ {
+		dm := demands[i]
+		coming := d.pack(p, dm, e, now)
+		if !dm.job.spec.Service || dm.kept || coming == 0 {
+			continue
+		}
+		l := late[dm.job.spec.Class]
+		if l == nil {
+			l = &lateness{}
+			late[dm.job.spec.Class] = l
+		}
+		if extra := l.more(coming, d.perMachine(dm.job)); extra > 0 {
+			demands = append(demands, keep(dm.job, extra))
+		}
+	}
+}
+
+// lateness reckons, class by class, for how many tasks to rent once more.
+type lateness struct{ coming, hedged float64 }
+
+func (l *lateness) more(coming int, perMachine float64) int {
+	l.coming += float64(coming)
+	machines := l.coming / perMachine
+	extra := int(perMachine*min(lateShare*machines, math.Sqrt(machines)) - l.hedged)
+	l.hedged += float64(max(0, extra))
+	return max(0, extra)
+}
+
+// perMachine is how many tasks of the job the best filled type holds.
+func (d *dispatcher) perMachine(j *job) float64 {
+	n := 1
+	for _, name := range d.fitsOf(j) {
+		n = max(n, fitCount(d.types[name].Room, j.spec.Room))
+	}
+	return float64(n)
+}
+
+// ending is what a packing knows of work that ends.
+type ending struct {
+	places int     // that it holds or has been given
+	usual  float64 // that it usually takes
+	behind int     // tasks left over so far
+}
+
+// pack puts a demand's tasks into slots, wanting new ones where it must, and
+// returns how many count on machines that aren't up yet.
+func (d *dispatcher) pack(p *packing, dm *demand, e *ending, now time.Time) (coming int) {
+	for dm.n > 0 {
+		if s := d.bestSlot(p, dm); s != nil {
+			s.free = s.free.Minus(dm.job.spec.Room)
+			s.packed = append(s.packed, dm)
+			dm.zones.add(s.zone, 1)
+			dm.n--
+			if dm.runS > 0 {
+				e.places++
+			}
+			if s.booting {
+				coming++
+			}
+			continue
+		}
+		if dm.runS > 0 && e.places > 0 {
+			// What usually comes takes its places before the backlog does.
+			left := max(float64(e.places)-e.usual, leastLeft*float64(e.places))
+			if float64(e.behind+dm.n)*dm.runS/left < d.leastBoot(dm.job) {
+				break
+			}
+		}
+		o, ok := d.bestOffer(p, dm, now)
+		if !ok || len(p.wants) >= p.limit {
+			break
+		}
+		p.wants = append(p.wants, o)
+		p.sizes[o.zone]++
+		typ := d.types[o.kind]
+		p.slots = append(p.slots, &slot{offer: o, typ: typ, free: typ.Room, booting: true})
+		if !slices.Contains(p.zones, o.zone) {
+			p.zones = append(p.zones, o.zone)
+		}
+	}
+	if dm.runS > 0 {
+		e.behind += dm.n
+	}
+	return coming
+}
+
+// leastLeft is the share of its places that a backlog gets at the least.
+const leastLeft = 0.2
+
+// usualBatch is how many places ending work usually takes.
+func (d *dispatcher) usualBatch(now time.Time) float64 {
+	n := 0.0
+	for _, c := range d.classes {
+		if !c.last.spec.Service {
+			if tasks, _, window := d.rate(c, now); window > 0 {
+				n += tasks / window * d.runTime(c.last)
+			}
+		}
+	}
+	return n
+}
+
+// batchPlaces counts the places that ending work holds now.
+func (d *dispatcher) batchPlaces() int {
+	n := 0
+	for _, j := range d.open {
+		if !j.spec.Service {
+			n += len(j.attempts)
+		}
+	}
+	return n
+}
+
+// bestSlot finds the fullest slot that takes one more task of the demand.
+func (d *dispatcher) bestSlot(p *packing, dm *demand) *slot {
+	sh := dm.job.shape()
+	from := p.dry.from(sh, &dm.zones, p.zones)
+	if from >= len(p.slots) {
+		return nil
+	}
+	best := d.fullest(p.slots[from:], dm.job, &dm.zones, nil)
+	if best == nil {
+		p.dry.note(sh, &dm.zones, p.zones, len(p.slots))
+	}
+	return best
+}
+
+// fullest finds the fullest slot for a task of the job, among those that ok
+// takes, if it is given.
+func (d *dispatcher) fullest(slots []*slot, j *job, zones *zoneCheck, ok func(*slot) bool) *slot {
+	room := j.spec.Room
+	var best *slot
+	bestFree := 0.0
+	for _, s := range slots {
+		if !room.Fits(s.free) || !s.admits(j, zones) || ok != nil && !ok(s) {
+			continue
+		}
+		if room.GPUs == 0 && s.typ.Room.GPUs > 0 {
+			if s.booting && j.spec.Service {
+				continue // smaller machines come sooner and cost little
+			}
+			if d.strands(j, s) {
+				continue
+			}
+		}
+		f := s.free.CPUs/s.typ.Room.CPUs + 2*s.free.GPUs
+		if j.spec.Spot && !s.spot {
+			f += 100
+		}
+		if best == nil || f < bestFree {
+			best, bestFree = s, f
+		}
+	}
+	return best
+}
+
+// bestOffer finds the machine that holds what is left of a demand at the least
+// price a task, among those that the cloud hasn't refused lately.
+func (d *dispatcher) bestOffer(p *packing, dm *demand, now time.Time) (offer, bool) {
+	s := &dm.job.spec
+	var best offer
+	bestCost := math.Inf(1)
+	for _, name := range d.fitsOf(dm.job) {
+		t := d.types[name]
+		fit := fitCount(t.Room, s.Room)
+		for _, zone := range t.Zones {
+			if !dm.zones.allows(zone) {
+				continue
+			}
+			for _, spot := range []bool{true, false} {
+				if spot && (!s.Spot || t.SpotPrice <= 0) || !spot && dm.kept && s.Spot {
+					continue
+				}
+				o := offer{name, zone, spot}
+				if at, ok := d.refused[o]; ok && now.Sub(at) < d.settings.Lease {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				cost := price / float64(min(fit, dm.n))
+				cost *= 1 + 0.02*float64(p.sizes[zone])/float64(1+len(d.machines))
+				if cost < bestCost {
+					best, bestCost = o, cost
+				}
+			}
+		}
+	}
+	return best, !math.IsInf(bestCost, 1)
+}
+
+// fitCount is how many tasks of that room a machine holds.
+func fitCount(machine, task storage.Room) int {
+	n := math.Inf(1)
+	if task.CPUs > 0 {
+		n = min(n, machine.CPUs/task.CPUs)
+	}
+	if task.GPUs > 0 {
+		n = min(n, machine.GPUs/task.GPUs)
+	}
+	if task.MemoryGB > 0 {
+		n = min(n, machine.MemoryGB/task.MemoryGB)
+	}
+	if math.IsInf(n, 1) {
+		return 1 << 20
+	}
+	return max(1, int(n+1e-6))
+}
--- a/internal/coordination/settings.go
+++ b/internal/coordination/settings.go
@@ -59,11 +59,15 @@
 	UpWindow    time.Duration // pressure must hold this long before growth
 	DownWindow  time.Duration // healthy time before a machine is returned
 	Cooldown    time.Duration // after a return
-	GrowStep    int           // machines per growth step
+	GrowStep    int           // machines per growth step of a small fleet
 	LeaderLease time.Duration // life of the leadership grant
 	Reserve     float64       // standard deviations of arrivals to keep room for
 }
 
+// growBound is the most machines that one step may rent: the operators' figure,
+// or as many as the fleet has, so that a fleet of any size at most doubles.
+func (t *Tuning) growBound(size int) int { return max(t.GrowStep, size) }
+
 // Ratios of the tuning defaults to the settings' figures.
 const (
 	upPerReport     = 0.3 // DESIGN starts at 10 s
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -148,6 +148,14 @@
 	return ""
 }
 
+// fitsOf is fitting, kept with the job.
+func (d *dispatcher) fitsOf(j *job) []string {
+	if j.fits == nil {
+		j.fits = d.fitting(&j.spec)
+	}
+	return j.fits
+}
+
 // fitting returns the names of the allowed machine types that hold a task.
 func (d *dispatcher) fitting(s *storage.Spec) []string {
 	var out []string
