--- a/internal/coordination/capacity.go
+++ b/internal/coordination/capacity.go
@@ -21,6 +21,8 @@
 	catalogueLeases = 5
 	// returnBatch is how many machines one deletion names, under the cloud's 100.
 	returnBatch = 50
+	// hireMost is how many machines one rental names at the most, the cloud's limit.
+	hireMost = 50
 	// listPage is the cloud's largest page.
 	listPage = 500
 )
@@ -255,40 +257,44 @@
 // grow records the new size with the term and the names of the hires in one
 // conditional write, and asks the cloud after that.
 func (c *capacity) grow(v fleetView, now time.Time) {
-	counts := make(map[offer]int)
-	var order []offer
-	n := 0
-	for _, o := range v.wants {
-		if n == c.settings.Tuning.growBound(v.size) {
-			break
-		}
-		if counts[o] == 0 {
-			order = append(order, o)
-		}
-		counts[o]++
-		n++
-	}
+	n := min(len(v.wants), c.settings.Tuning.growBound(v.size))
 	c.desired = v.size + n
 	var names []string
 	records := []storage.Record{c.fleetRecord()}
-	for _, o := range order {
+	for _, h := range hiresFor(v.wants[:n]) {
 		c.nextHire++
 		name := fmt.Sprintf("r-%d-%d", c.term, c.nextHire)
-		h := storage.HireRecord{Type: o.kind, Zone: o.zone, Spot: o.spot, Count: counts[o]}
-		c.hires[name] = &hire{HireRecord: h}
-		names = append(names, name)
 		rec, err := storage.NewRecord(storage.HireKey(name), h)
 		if err != nil {
 			c.log.Error("hire not encoded", "err", err)
 			continue
 		}
+		c.hires[name] = &hire{HireRecord: h}
+		names = append(names, name)
 		records = append(records, rec)
-		c.log.Info("grow", "hire", name, "type", o.kind, "zone", o.zone, "spot", o.spot, "count", counts[o], "desired", c.desired)
+		c.log.Info("grow", "hire", name, "type", h.Type, "zone", h.Zone, "spot", h.Spot, "count", h.Count, "desired", c.desired)
 	}
-	c.upSince = time.Time{}
+	c.upSince = now // what is still missing must hold for another window
 	c.record(records, recordedMsg{hires: names})
 }
 
+// hiresFor gathers the wanted machines into rentals, in the order of their
+// first mention, none larger than the cloud takes.
+func hiresFor(wants []offer) []storage.HireRecord {
+	var out []storage.HireRecord
+	last := make(map[offer]int)
+	for _, o := range wants {
+		i, ok := last[o]
+		if !ok || out[i].Count == hireMost {
+			i = len(out)
+			last[o] = i
+			out = append(out, storage.HireRecord{Type: o.kind, Zone: o.zone, Spot: o.spot})
+		}
+		out[i].Count++
+	}
+	return out
+}
+
 func (c *capacity) shrink(v fleetView, now time.Time) {
 	c.desired = v.size - 1
 	c.coolTill = now.Add(c.settings.Tuning.Cooldown)
--- a/internal/coordination/pressure.go
+++ b/internal/coordination/pressure.go
@@ -150,16 +150,7 @@
 func (d *dispatcher) pack(p *packing, dm *demand, e *ending, now time.Time) (coming int) {
 	for dm.n > 0 {
 		if s := d.bestSlot(p, dm); s != nil {
-			s.free = s.free.Minus(dm.job.spec.Room)
-			s.packed = append(s.packed, dm)
-			dm.zones.add(s.zone, 1)
-			dm.n--
-			if dm.runS > 0 {
-				e.places++
-			}
-			if s.booting {
-				coming++
-			}
+			coming += s.put(dm, e)
 			continue
 		}
 		if dm.runS > 0 && e.places > 0 {
@@ -173,10 +164,17 @@
 		if !ok || len(p.wants) >= p.limit {
 			break
 		}
+		typ := d.types[o.kind]
+		if dm.job.spec.Room.GPUs == 0 && typ.Room.GPUs > 0 {
+			// Only the dear kind is left: first count on those that boot anyway.
+			if s := d.fullest(p.slots, dm.job, &dm.zones, lastResort); s != nil {
+				coming += s.put(dm, e)
+				continue
+			}
+		}
 		p.wants = append(p.wants, o)
 		p.sizes[o.zone]++
-		typ := d.types[o.kind]
-		p.slots = append(p.slots, &slot{offer: o, typ: typ, free: typ.Room, booting: true})
+		p.slots = append(p.slots, &slot{offer: o, typ: typ, free: typ.Room, booting: true, plain: dm.job.spec.Room.GPUs == 0})
 		if !slices.Contains(p.zones, o.zone) {
 			p.zones = append(p.zones, o.zone)
 		}
@@ -187,6 +185,22 @@
 	return coming
 }
 
+// put packs one task of a demand here and returns 1 if it counts on a machine
+// that isn't up yet.
+func (s *slot) put(dm *demand, e *ending) int {
+	s.free = s.free.Minus(dm.job.spec.Room)
+	s.packed = append(s.packed, dm)
+	dm.zones.add(s.zone, 1)
+	dm.n--
+	if dm.runS > 0 {
+		e.places++
+	}
+	if s.booting {
+		return 1
+	}
+	return 0
+}
+
 // leastLeft is the share of its places that a backlog gets at the least.
 const leastLeft = 0.2
 
@@ -221,31 +235,33 @@
 	if from >= len(p.slots) {
 		return nil
 	}
-	best := d.fullest(p.slots[from:], dm.job, &dm.zones, nil)
+	best := d.fullest(p.slots[from:], dm.job, &dm.zones, d.sensible)
 	if best == nil {
 		p.dry.note(sh, &dm.zones, p.zones, len(p.slots))
 	}
 	return best
 }
 
-// fullest finds the fullest slot for a task of the job, among those that ok
-// takes, if it is given.
-func (d *dispatcher) fullest(slots []*slot, j *job, zones *zoneCheck, ok func(*slot) bool) *slot {
+// sensible tells whether a task without accelerators may count on the slot's
+// machine if it has some: smaller machines come sooner and cost little.
+func (d *dispatcher) sensible(s *slot, j *job) bool {
+	return !s.booting || !j.spec.Service || j.spec.Room.GPUs > 0 || s.typ.Room.GPUs == 0
+}
+
+// lastResort takes any slot that has the room.
+func lastResort(*slot, *job) bool { return true }
+
+// fullest finds the fullest slot for a task of the job, among those that suit.
+// A task without accelerators must leave enough of the rest for those that are
+// free, but on a machine that is rented for such tasks.
+func (d *dispatcher) fullest(slots []*slot, j *job, zones *zoneCheck, suits func(*slot, *job) bool) *slot {
 	room := j.spec.Room
 	var best *slot
 	bestFree := 0.0
 	for _, s := range slots {
-		if !room.Fits(s.free) || !s.admits(j, zones) || ok != nil && !ok(s) {
+		if !room.Fits(s.free) || !s.admits(j, zones) || !suits(s, j) || !s.plain && d.strands(j, s) {
 			continue
 		}
-		if room.GPUs == 0 && s.typ.Room.GPUs > 0 {
-			if s.booting && j.spec.Service {
-				continue // smaller machines come sooner and cost little
-			}
-			if d.strands(j, s) {
-				continue
-			}
-		}
 		f := s.free.CPUs/s.typ.Room.CPUs + 2*s.free.GPUs
 		if j.spec.Spot && !s.spot {
 			f += 100
--- a/internal/coordination/settings.go
+++ b/internal/coordination/settings.go
@@ -74,7 +74,7 @@
 	downPerLease    = 1.0
 	coolPerLease    = 0.25
 	leaderPerLease  = 0.08
-	growStepDefault = 4
+	growStepDefault = hireMost // DESIGN starts at 4
 	reserveDefault  = 1.0
 
 	// driftBound covers the workers' and our own steady clocks.
--- a/internal/coordination/slot.go
+++ b/internal/coordination/slot.go
@@ -15,6 +15,7 @@
 	typ     *storage.MachineType
 	free    storage.Room
 	booting bool
+	plain   bool      // to be rented for tasks without accelerators
 	on      *machine  // nil: not yet rented
 	packed  []*demand // what a trial packing has put here, a task each
 
--- a/internal/coordination/spare.go
+++ b/internal/coordination/spare.go
@@ -62,9 +62,9 @@
 // there, into the room that the packing has left elsewhere. Replicas must find
 // their images where they go.
 func (d *dispatcher) canSpare(p *packing, s *slot) bool {
-	ready := func(o *slot) bool { return o != s && o.on != nil && !o.booting }
+	ready := func(o *slot, _ *job) bool { return o != s && o.on != nil && !o.booting }
 	undo, ok := d.tryMove(s.on, p.slots, true, func(o *slot, j *job) bool {
-		if !ready(o) {
+		if !ready(o, j) {
 			return false
 		}
 		_, cached := o.on.images[j.spec.Image]
@@ -106,7 +106,7 @@
 		}
 		zones := newZoneCheck(a.job)
 		zones.add(m.zone, -1)
-		s := d.fullest(slots, a.job, &zones, func(s *slot) bool { return suits(s, a.job) })
+		s := d.fullest(slots, a.job, &zones, suits)
 		if s == nil {
 			return undo, false
 		}
@@ -149,9 +149,8 @@
 	}
 	var lost []int
 	slots := d.readySlots(now)
-	anywhere := func(*slot, *job) bool { return true }
 	for _, m := range silent {
-		undo, ok := d.tryMove(m, slots, false, anywhere)
+		undo, ok := d.tryMove(m, slots, false, lastResort)
 		if ok {
 			d.log.Info("unheard since the take-over", "machine", m.id, "attempts", len(m.attempts))
 			lost = append(lost, m.id)
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -225,7 +225,7 @@
 		"fleet.down.window":  span(&t.DownWindow),
 		"fleet.cooldown":     span(&t.Cooldown),
 		"leader.lease":       span(&t.LeaderLease),
-		"fleet.grow.step":    func(k, v string) { t.GrowStep = c.parseCount(k, v, 1, 4) },
+		"fleet.grow.step":    func(k, v string) { t.GrowStep = c.parseCount(k, v, 1, 50) },
 		"fleet.reserve.luck": func(k, v string) { t.Reserve = c.parseAmount(k, v, 0, 10) },
 	}
 	for _, key := range p.Keys() {
