Cut machines are kept as long as another boots; mail and greets keep to their means

Change: a machine that was up is let go after a lease and as long as another boots; mail takes larger batches and leaves out what nobody waits for; greets take a sixteenth, direct orders a quarter and their idle connections an eighth of the sockets. A renewal that overlaps a resignation no longer makes the leader certain again; of two tries of a task on one machine both stay unforgotten.

--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -34,6 +35,7 @@
 	deps     Deps
 	term     uint64
 	role     Role
+	resigned bool // the lead has been given up
 	journal  *storage.Journal
 	capacity *capacity
 	resign   chan<- uint64
@@ -71,10 +73,12 @@
 	goneBefore map[int]bool // machines whose return the cloud has confirmed
 	gpuNeed    storage.Room
 	gpuNeedAt  time.Time
-	firstJob   time.Time // when the first job ever came
-	spareFrom  int       // where the search for a machine to return goes on
-	roundAt    time.Time // placement rests until then
-	viewAt     time.Time // the next look at the fleet
+	firstJob   time.Time  // when the first job ever came
+	ungreeted  []*machine // known at the take-over and not yet told our token
+	greeting   int        // workers being told now
+	spareFrom  int        // where the search for a machine to return goes on
+	roundAt    time.Time  // placement rests until then
+	viewAt     time.Time  // the next look at the fleet
 }
 
 // Messages to the dispatcher.
@@ -90,7 +94,7 @@
 	}
 	directMsg struct {
 		machine int
-		session uint64
+		greet   bool
 		starts  []*attempt
 		outcome Outcome
 		report  *Report
@@ -319,6 +323,7 @@
 // the rounds.
 func (d *dispatcher) run(ctx context.Context) error {
 	d.ctx = ctx
+	d.ungreeted = slices.Clone(d.order)
 	d.spreadToken()
 	tick := time.NewTicker(scale(d.settings.Report, tickPerReport))
 	defer tick.Stop()
@@ -364,7 +369,11 @@
 func (d *dispatcher) handle(m any) {
 	switch m := m.(type) {
 	case roleMsg:
-		d.role = m.role
+		// A renewal that was under way when we resigned comes too late: the
+		// grant may be ended at any moment now.
+		if !d.resigned {
+			d.role = m.role
+		}
 	case userMsg:
 		d.handleUser(m)
 	case beatMsg:
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -46,7 +46,7 @@
 		case m.returning, m.failed:
 			v.lost = append(v.lost, m.id)
 			continue
-		case !m.heard && len(m.attempts) == 0 && m.bootOverdue(now, deadPatience):
+		case !m.heard && len(m.attempts) == 0 && m.typ != nil && d.givenUp(m, now):
 			v.lost = append(v.lost, m.id)
 			v.size++
 			continue
@@ -79,6 +79,17 @@
 	return v
 }
 
+// givenUp tells whether a machine is let go that isn't heard: one that was up
+// once it has been silent for a lease and as long as another takes to boot, for
+// behind a cut it may be back sooner than that; one that never was up when it
+// is far overdue.
+func (d *dispatcher) givenUp(m *machine, now time.Time) bool {
+	if m.lastBeat.IsZero() {
+		return m.bootOverdue(now, deadPatience)
+	}
+	return now.Sub(m.lastBeat) > d.settings.Lease+seconds(m.typ.BootS)
+}
+
 func (m *machine) bootOverdue(now time.Time, times float64) bool {
 	return m.typ != nil && now.Sub(m.born) > seconds(m.typ.BootS*times+5)
 }
--- a/internal/coordination/machine.go
+++ b/internal/coordination/machine.go
@@ -35,7 +35,7 @@
 	noticeAt  time.Time
 
 	attempts map[TaskID]*attempt
-	tainted  map[TaskID]uint64 // ended attempts that must not be forgotten yet
+	tainted  map[taskTry]bool // ended attempts that must not be forgotten yet
 	images   map[string]image
 
 	failures  int // failed tasks of different jobs without a success between
@@ -55,7 +55,7 @@
 	return &machine{
 		id: id, born: now,
 		attempts: make(map[TaskID]*attempt),
-		tainted:  make(map[TaskID]uint64),
+		tainted:  make(map[taskTry]bool),
 		images:   make(map[string]image),
 	}
 }
--- a/internal/coordination/mail.go
+++ b/internal/coordination/mail.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"strings"
 	"time"
 
@@ -31,12 +32,12 @@
 	// gatherPerReport is how long a batch gathers, in report intervals.
 	gatherPerReport = 0.1
 	// mailBatch bounds the items of a batch, mailPieces its values.
-	mailBatch  = 48
+	mailBatch  = 192
 	mailPieces = 4
 	// mailPatience is how long the answers to a batch may take.
 	mailPatience = 2 * time.Second
 	// mailQueue bounds what waits for the next batch.
-	mailQueue = 128
+	mailQueue = 512
 )
 
 // letter is one item of a batch.
@@ -148,6 +149,7 @@
 
 type posted struct {
 	letter
+	ctx   context.Context // ends when the sender no longer waits
 	reply chan mailReply
 }
 
@@ -163,7 +165,7 @@
 }
 
 func (m *mailer) send(ctx context.Context, l letter) mailReply {
-	p := posted{l, make(chan mailReply, 1)}
+	p := posted{l, ctx, make(chan mailReply, 1)}
 	select {
 	case m.in <- p:
 	default:
@@ -212,6 +214,8 @@
 				more = false
 			}
 		}
+		// Whose sender has given up is not worth the budget.
+		batch = slices.DeleteFunc(batch, func(p posted) bool { return p.ctx.Err() != nil })
 		for len(batch) > 0 && ctx.Err() == nil {
 			batch = m.deliver(ctx, batch)
 		}
@@ -274,7 +278,8 @@
 				continue
 			}
 			var replies []mailReply
-			return replies, decodePieces(pieces, &replies)
+			err := decodePieces(pieces, &replies)
+			return replies, err
 		}
 	}
 }
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -45,6 +45,7 @@
 
 func (d *dispatcher) stepDown(reason string) {
 	d.log.Info("stepping down", "reason", reason)
+	d.resigned = true
 	d.role.Certain, d.role.HoldOut = time.Time{}, time.Time{}
 	select {
 	case d.resign <- d.term:
@@ -258,7 +259,7 @@
 		}
 		// A start that went directly may be repeated late: only an attempt
 		// that the worker still knows makes that harmless.
-		if m.tainted[t.ID] == t.Try || !d.certain(now) || !d.pageSettled(t.ID) {
+		if m.tainted[taskTry{t.ID, t.Try}] || !d.certain(now) || !d.pageSettled(t.ID) {
 			continue
 		}
 		out = append(out, Order{Verb: Forget, ID: t.ID, Try: t.Try})
@@ -285,7 +286,7 @@
 	delete(m.attempts, a.id())
 	d.books.Release(m.id, j.spec.Team, j.spec.Room)
 	if a.direct != directNone {
-		m.tainted[a.id()] = a.try
+		m.tainted[taskTry{a.id(), a.try}] = true
 	}
 	j.setTask(a.task, taskWaiting)
 	d.markPage(j, a.task)
@@ -328,26 +329,46 @@
 	for _, a := range starts {
 		a.direct = directInFlight
 	}
+	d.send(m, orders, starts, d.settings.Report)
+}
+
+func (d *dispatcher) send(m *machine, orders []Order, starts []*attempt, limit time.Duration) {
 	addr, session, id := m.addr, m.session, m.id
-	limit := scale(d.settings.Report, 1)
 	go func() {
 		ctx, cancel := context.WithTimeout(d.ctx, limit)
 		defer cancel()
 		outcome, report := d.deps.Workers.Orders(ctx, addr, d.term, session, orders)
-		d.post(directMsg{machine: id, session: session, starts: starts, outcome: outcome, report: report})
+		d.post(directMsg{machine: id, greet: len(orders) == 0, starts: starts, outcome: outcome, report: report})
 	}()
 }
 
-// greet spreads our token to one worker.
-func (d *dispatcher) greet(m *machine) { d.direct(m, nil, nil) }
+// greet spreads our token to one worker, unless as many as the sockets allow
+// are being told already: then its own next report brings it the token.
+func (d *dispatcher) greet(m *machine) bool {
+	if d.greeting >= d.settings.greets() {
+		return false
+	}
+	if m.token >= d.term || m.returning || m.addr == "" || m.session == 0 {
+		return true // knows it, or can't be told
+	}
+	d.greeting++
+	d.send(m, nil, nil, scale(d.settings.Report, greetPerReport))
+	return true
+}
+
+// greetPerReport is how long a worker has to take our token, in report
+// intervals: behind a cut it would only hold a socket.
+const greetPerReport = 0.25
 
 // spreadToken tells all known workers at the start of a term that their old
-// leader's commands are over.
+// leader's commands are over, some at a time.
 func (d *dispatcher) spreadToken() {
-	for _, m := range d.machines {
-		if !m.returning {
-			d.greet(m)
+	for len(d.ungreeted) > 0 {
+		m := d.ungreeted[0]
+		if d.machines[m.id] == m && !d.greet(m) {
+			return
 		}
+		d.ungreeted = d.ungreeted[1:]
 	}
 }
 
@@ -355,6 +376,10 @@
 func (d *dispatcher) handleDirect(msg directMsg) {
 	now := time.Now()
 	m := d.machines[msg.machine]
+	if msg.greet {
+		d.greeting--
+		d.spreadToken()
+	}
 	defer d.dropUnsent(msg.starts)
 	for _, a := range msg.starts {
 		switch msg.outcome {
--- a/internal/coordination/settings.go
+++ b/internal/coordination/settings.go
@@ -126,6 +126,12 @@
 // fresh is how long a machine's last report counts.
 func (s *Settings) fresh() time.Duration { return freshIntervals * s.Report }
 
+// greetSockets is the share of the sockets that spreading a token may take.
+const greetSockets = 1.0 / 16
+
+// greets is how many workers may be told our token at a time.
+func (s *Settings) greets() int { return max(1, int(float64(s.Sockets)*greetSockets)) }
+
 func (s *Settings) team(name string) *Team {
 	for i := range s.Teams {
 		if s.Teams[i].Name == name {
--- a/internal/transport/workers.go
+++ b/internal/transport/workers.go
@@ -10,21 +10,40 @@
 	"sagevale/internal/protocol"
 )
 
+const (
+	// orderSockets is the share of the sockets that direct orders may hold,
+	// idleSockets that of connections kept for the next ones: most of a node's
+	// sockets are its workers' own.
+	orderSockets = 1.0 / 4
+	idleSockets  = 1.0 / 8
+	// idleOrders is how long an idle connection to a worker is kept.
+	idleOrders = 10 * time.Second
+)
+
 // WorkerClient sends orders straight to workers.
 type WorkerClient struct {
-	c   *client
-	log *slog.Logger
+	c     *client
+	slots chan struct{} // one for each exchange under way
+	log   *slog.Logger
 }
 
 var _ coordination.WorkerLink = (*WorkerClient)(nil)
 
-// NewWorkerClient makes a client that keeps one idle connection a worker.
+// NewWorkerClient makes a client that keeps one idle connection a worker, as
+// far as the sockets allow.
 func NewWorkerClient(sockets int, log *slog.Logger) *WorkerClient {
-	return &WorkerClient{newClient(1, sockets/4, 30*time.Second), log}
+	share := func(f float64) int { return max(1, int(float64(sockets)*f)) }
+	return &WorkerClient{newClient(1, share(idleSockets), idleOrders), make(chan struct{}, share(orderSockets)), log}
 }
 
 // Orders sends orders and returns the worker's report after them.
 func (w *WorkerClient) Orders(ctx context.Context, addr string, token, session uint64, orders []coordination.Order) (coordination.Outcome, *coordination.Report) {
+	select {
+	case w.slots <- struct{}{}:
+		defer func() { <-w.slots }()
+	case <-ctx.Done():
+		return coordination.NotSent, nil
+	}
 	ex, sent, err := w.c.do(ctx, http.MethodPost, "http://"+addr+"/orders", protocol.NewDirectOrders(token, session, orders))
 	switch {
 	case err != nil && !sent:
