A node without the state service learns the leader from its peers, or is unwell

Change: pings tell who leads first-hand; a later term so heard of deposes a leader that can't renew, and followers forward by it. /up is 503 where a leader lives but is out of reach, and at a leader that is no longer certain. A user's letter ends the gathering of mail.

--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -264,6 +264,10 @@
 			reason = "grant ended"
 			break
 		}
+		if _, later := l.peers.Known(); later > term {
+			reason = "a peer knows a later leader"
+			break
+		}
 		if at := time.Now(); at.After(role().Certain) && l.leaderless(ctx, role().Certain) {
 			confirmed = at
 			l.tell(role())
--- a/internal/coordination/mail.go
+++ b/internal/coordination/mail.go
@@ -195,31 +195,51 @@
 
 // run sends batch after batch, each once the one before it is over.
 func (m *mailer) run(ctx context.Context) {
-	for {
-		var batch []posted
+	for ctx.Err() == nil {
+		batch := m.gather(ctx)
+		// Whose sender has given up is not worth the budget.
+		batch = slices.DeleteFunc(batch, func(p posted) bool { return p.ctx.Err() != nil })
+		for len(batch) > 0 && ctx.Err() == nil {
+			batch = m.deliver(ctx, batch)
+		}
+	}
+}
+
+// gather takes the first letter and those that come soon after. Users wait for
+// their answers, so a user's letter ends the gathering.
+func (m *mailer) gather(ctx context.Context) []posted {
+	var batch []posted
+	soon := make(<-chan time.Time)
+	for len(batch) < mailBatch {
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case p := <-m.in:
 			batch = append(batch, p)
-		}
-		if !storage.Sleep(ctx, scale(m.settings.Report, gatherPerReport)) {
-			return
-		}
-		for more := true; more && len(batch) < mailBatch; {
-			select {
-			case p := <-m.in:
-				batch = append(batch, p)
-			default:
-				more = false
+			if p.User != nil {
+				return m.rest(batch)
 			}
+			if len(batch) == 1 {
+				soon = time.After(scale(m.settings.Report, gatherPerReport))
+			}
+		case <-soon:
+			return m.rest(batch)
 		}
-		// Whose sender has given up is not worth the budget.
-		batch = slices.DeleteFunc(batch, func(p posted) bool { return p.ctx.Err() != nil })
-		for len(batch) > 0 && ctx.Err() == nil {
-			batch = m.deliver(ctx, batch)
+	}
+	return batch
+}
+
+// rest adds what waits already.
+func (m *mailer) rest(batch []posted) []posted {
+	for len(batch) < mailBatch {
+		select {
+		case p := <-m.in:
+			batch = append(batch, p)
+		default:
+			return batch
 		}
 	}
+	return batch
 }
 
 // deliver sends a batch, or the half of it that fits, and returns the rest.
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -167,23 +167,42 @@
 	}
 }
 
-// Able tells whether this node can take requests: it leads or knows a leader
-// or is looking for one.
-func (n *Node) Able() bool { return true }
+// Able tells whether users should be sent here: not where a leader lives but is
+// out of reach, nor to a leader that has lost the state service. While nobody
+// leads all nodes are as good.
+func (n *Node) Able() bool {
+	v := n.view.Load()
+	if v.role.Leading {
+		return time.Now().Before(v.role.Certain.Add(n.settings.Tuning.LeaderLease))
+	}
+	leader, _ := n.leader(v)
+	return leader == "" || n.deps.Peers.Unheard(leader) <= n.settings.Tuning.LeaderLease
+}
+
+// leader is who leads, first-hand or, where that is later, by the word of the
+// peers: this node alone may have lost the state service.
+func (n *Node) leader(v *view) (name string, term uint64) {
+	name, term = v.role.Leader, v.role.Term
+	if told, t := n.deps.Peers.Known(); t > term && told != n.settings.Node {
+		return told, t
+	}
+	return name, term
+}
 
 // User answers a user's request here, if this node leads, or by the leader.
 func (n *Node) User(ctx context.Context, req UserRequest) Answer {
 	v := n.view.Load()
-	switch {
-	case v.desk != nil:
+	if v.desk != nil {
 		return v.desk.user(ctx, req)
-	case v.role.Leader == "" || v.role.Leading:
+	}
+	leader, _ := n.leader(v)
+	if leader == "" || leader == n.settings.Node {
 		return Unavailable(req.ID, "no leader yet")
 	}
-	if n.useMail(v) {
+	if n.useMail(leader) {
 		return n.mail.user(ctx, req)
 	}
-	a, err := n.deps.Peers.Forward(ctx, v.role.Leader, req)
+	a, err := n.deps.Peers.Forward(ctx, leader, req)
 	if err != nil {
 		return Unavailable(req.ID, "leader out of reach")
 	}
@@ -192,14 +211,18 @@
 
 // useMail tells whether the leader lives, for its key outlasts its grant's
 // life, and yet can't be reached: then only the state service leads to it.
-func (n *Node) useMail(v *view) bool {
-	return n.deps.Peers.Unheard(v.role.Leader) > n.settings.Tuning.LeaderLease
+func (n *Node) useMail(leader string) bool {
+	return n.deps.Peers.Unheard(leader) > n.settings.Tuning.LeaderLease
 }
 
 // Local answers a request that another node forwarded.
 func (n *Node) Local(ctx context.Context, req UserRequest) Answer {
 	if req.Op == OpPing {
-		return Answer{Peer: n.lead.state()}
+		st := n.lead.state()
+		if r := n.view.Load().role; !r.Leading || time.Now().Before(r.Certain) {
+			st.Leader, st.Term = r.Leader, r.Term
+		}
+		return Answer{Peer: st}
 	}
 	if v := n.view.Load(); v.desk != nil {
 		return v.desk.user(ctx, req)
@@ -216,10 +239,11 @@
 	case v.role.Leading:
 		return BeatAnswer{Busy: true}
 	}
-	if v.role.Leader != "" && n.deps.Peers.Unheard(v.role.Leader) > 0 {
+	leader, _ := n.leader(v)
+	if leader != "" && n.deps.Peers.Unheard(leader) > 0 {
 		// Naming a leader that is out of reach would cost the worker seconds
 		// of its lease.
 		return n.mail.beat(ctx, r)
 	}
-	return BeatAnswer{Leader: v.role.Leader}
+	return BeatAnswer{Leader: leader}
 }
--- a/internal/coordination/ports.go
+++ b/internal/coordination/ports.go
@@ -131,6 +131,8 @@
 type PeerState struct {
 	Up         time.Duration // since its process began
 	SinceState time.Duration // since its leadership last heard the state service
+	Leader     string        // who leads, as it knows first-hand; "": nobody it knows of
+	Term       uint64
 }
 
 // Outcome tells what became of a direct command.
@@ -215,6 +217,9 @@
 	// Unheard is for how long the named node has been out of reach; 0: it is
 	// in reach.
 	Unheard(node string) time.Duration
+	// Known is the latest leader that the peers have told of lately, with its
+	// term; 0: none.
+	Known() (leader string, term uint64)
 }
 
 // Unavailable is the answer of a node that can't decide now.
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -124,6 +124,19 @@
 	return Answer{}, fmt.Errorf("no way to %s", name)
 }
 
+// Known is what the other nodes tell.
+func (n *fakeNode) Known() (leader string, term uint64) {
+	for _, o := range n.w.nodes {
+		if o == n || o.end == nil || o.cutPeers || n.cutPeers {
+			continue
+		}
+		if st := o.node.Local(context.Background(), UserRequest{Op: OpPing}).Peer; st.Term > term {
+			leader, term = st.Leader, st.Term
+		}
+	}
+	return leader, term
+}
+
 // Unheard is the peer link's measure of silence.
 func (n *fakeNode) Unheard(string) time.Duration {
 	if n.cutPeers {
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -112,6 +112,16 @@
 	return 0
 }
 
+// Known is the latest leader that a peer in reach has told of.
+func (p *Peers) Known() (leader string, term uint64) {
+	for name, l := range p.links {
+		if st, ok := l.told.Load().(coordination.PeerState); ok && st.Leader != "" && st.Term > term && p.Unheard(name) == 0 {
+			leader, term = st.Leader, st.Term
+		}
+	}
+	return leader, term
+}
+
 type call struct {
 	req   coordination.UserRequest
 	reply chan result
@@ -141,6 +151,7 @@
 	serial   uint64
 	downTill time.Time
 	heard    atomic.Value // time.Time of the last answer, published for others
+	told     atomic.Value // coordination.PeerState of the last answered ping, likewise
 }
 
 // brokenMsg tells that reading from a connection has ended.
@@ -166,6 +177,9 @@
 			case peerAnswer:
 				l.heard.Store(time.Now())
 				if p, ok := l.pending[e.Serial]; ok {
+					if p.req.Op == coordination.OpPing {
+						l.told.Store(e.Answer.Peer)
+					}
 					delete(l.pending, e.Serial)
 					p.reply <- result{answer: e.Answer}
 				}
