A new session heard of in a direct answer has a lease bound of its own

Cause: the lease bound of a machine counted from the last answered report even when a later session had been heard of since, in the answer to a direct order. Tasks started in that session were freed when the bound of the one before passed. Also: a desk of a term that is over no longer displaces the present one.

--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -89,13 +89,12 @@
 		select {
 		case <-ctx.Done():
 			return
-		case desk = <-loaded:
+		case d := <-loaded:
 			cur := n.view.Load()
-			if end == nil || !cur.role.Leading || cur.role.Term != desk.term {
-				desk = nil
-				continue
+			if end == nil || !cur.role.Leading || cur.role.Term != d.term {
+				continue // of a term that is over; the present one stays
 			}
-			role = cur.role
+			desk, role = d, cur.role
 		case role = <-n.roles:
 		}
 		cur := n.view.Load()
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -112,6 +112,9 @@
 	}
 	clear(m.tainted)
 	m.recorded = false
+	// The new session's lease began before now. Counting on from the answers
+	// to the one before would call its tasks gone while they run.
+	m.answered = now
 }
 
 // watchHeed leaves a machine alone whose reports come but which doesn't do as
--- a/internal/coordination/stories_test.go
+++ b/internal/coordination/stories_test.go
@@ -487,3 +487,26 @@
 		})
 	})
 }
+
+// A session that is first heard of in the answer to a direct order has its
+// lease from then on; the bound of the session before says nothing of its tasks.
+func TestANewSessionHeardDirectlyHasItsOwnLease(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.submit(service("000001", 1))
+		w.submit(service("000003", 4))
+		w.eventually("the services run", 2*time.Minute, func() bool { return len(w.running("000001"))+len(w.running("000003")) == 5 })
+		var on *fakeWorker
+		for _, wk := range w.running("000001") {
+			on = wk
+		}
+		on.mute = true
+		time.Sleep(time.Until(on.leased.Add(w.settings.Lease + 50*time.Millisecond)))
+		w.cancel("000001") // the stop tells of the new session
+		for i := range 3 {
+			w.submit(service(fmt.Sprintf("%06d", 10+i), 1))
+		}
+		time.Sleep(w.settings.Lease - 2*time.Second) // others have booted meanwhile
+		on.mute = false
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -29,6 +29,7 @@
 	specs    map[string]storage.Spec
 	cancelAt map[string]time.Time // when a user was told so
 	starts   int
+	over     bool // machines that boot now stay away
 	log      *slog.Logger
 }
 
@@ -74,6 +75,9 @@
 			for _, n := range w.nodes {
 				n.kill()
 			}
+			w.mu.Lock()
+			w.over = true
+			w.mu.Unlock()
 			for _, wk := range w.all() {
 				wk.dead = true
 			}
@@ -284,6 +288,7 @@
 	cut     bool      // nothing passes in either direction
 	only    *fakeNode // nothing passes to or from other nodes
 	deaf    bool      // its reports pass, answers and orders don't
+	mute    bool      // orders pass, its reports don't
 	hang    bool      // orders reach it only later: see late
 	sick    bool      // every task fails
 	notice  *float64
@@ -315,6 +320,9 @@
 func (w *world) addWorker(id int, kind, zone string, spot bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.over {
+		return
+	}
 	wk := &fakeWorker{w: w, id: id, kind: kind, zone: zone, spot: spot, session: 1, leased: time.Now(), tasks: make(map[workerKey]*workerTask)}
 	w.workers[id] = wk
 	go wk.run()
@@ -367,7 +375,7 @@
 
 func (wk *fakeWorker) run() {
 	for !wk.dead {
-		if !wk.cut {
+		if !wk.cut && !wk.mute {
 			wk.beat()
 		}
 		time.Sleep(wk.w.settings.Report)
