The cooldown follows the fleet's size; the very first leader needn't wait

Change: a fleet over 64 machines cools down in proportion faster, still one machine at a time; an emptied machine is returned at the next tick. A first term has no machines to hear, so it may grow at once.

--- a/internal/coordination/capacity.go
+++ b/internal/coordination/capacity.go
@@ -229,7 +229,9 @@
 // reconcile follows the design: growth after sustained pressure in bounded
 // steps, one drained machine at a time after a healthy window and a cooldown.
 func (c *capacity) reconcile(v fleetView, now time.Time) {
-	frozen := now.Before(c.frozenTill) || now.Sub(c.began) < c.settings.Report || !v.settled
+	// A new leader first hears the machines; the very first has none to hear.
+	fresh := c.term > 1 && now.Sub(c.began) < c.settings.Report
+	frozen := now.Before(c.frozenTill) || fresh || !v.settled
 	if len(v.wants) == 0 {
 		c.upSince = time.Time{}
 	} else {
@@ -297,7 +299,7 @@
 
 func (c *capacity) shrink(v fleetView, now time.Time) {
 	c.desired = v.size - 1
-	c.coolTill = now.Add(c.settings.Tuning.Cooldown)
+	c.coolTill = now.Add(c.settings.Tuning.cooldown(v.size))
 	c.log.Info("shrink", "machine", v.spare, "desired", c.desired)
 	c.record([]storage.Record{c.fleetRecord()}, recordedMsg{drain: v.spare})
 }
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -294,6 +294,9 @@
 	j.setTask(a.task, taskWaiting)
 	d.markPage(j, a.task)
 	d.regather(j)
+	if m.draining != "" && len(m.attempts) == 0 {
+		d.viewAt = time.Time{} // to be returned; the next drain waits for it
+	}
 	d.log.Debug("attempt over", "job", j.spec.ID, "task", a.task, "try", a.try, "machine", m.id, "why", why)
 	d.retire(j)
 	d.place = true
--- a/internal/coordination/settings.go
+++ b/internal/coordination/settings.go
@@ -68,6 +68,16 @@
 // or as many as the fleet has, so that a fleet of any size at most doubles.
 func (t *Tuning) growBound(size int) int { return max(t.GrowStep, size) }
 
+// coolFleet is the fleet that the cooldown is meant for. A larger one returns
+// its machines faster in proportion, still one at a time, so that a whole fleet
+// of any size above takes as long to return.
+const coolFleet = 64
+
+// cooldown is the pause after a machine of a fleet of that size was drained.
+func (t *Tuning) cooldown(size int) time.Duration {
+	return scale(t.Cooldown, min(1, coolFleet/float64(max(size, 1))))
+}
+
 // Ratios of the tuning defaults to the settings' figures.
 const (
 	upPerReport     = 0.3 // DESIGN starts at 10 s
