--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -75,7 +75,7 @@
 func (d *dispatcher) reserve(c *class, now time.Time) int {
 	s := &c.last.spec
 	batch := !s.Service
-	if s.Priority < storage.High && !(batch && s.Spot && s.Priority >= storage.Normal) {
+	if s.Priority < storage.High && !(batch && s.Spot && (s.Priority >= storage.Normal || s.DeadlineS > 0)) {
 		return 0
 	}
 	tasks, squares, window := d.rate(c, now)
