Split the room to keep over the zones that spread jobs need

Half of a spread job must be in another zone. Ruled out: slow starts (booked tasks start in milliseconds), missing images.

--- a/internal/coordination/pressure.go
+++ b/internal/coordination/pressure.go
@@ -61,7 +61,7 @@
 	for _, n := range names {
 		c := d.classes[n]
 		if k := max(d.reserve(c, now), fullest[n]); k > 0 {
-			out = append(out, keep(c.last, k))
+			out = append(out, d.keepFor(c.last, k)...)
 		}
 	}
 	return out
@@ -80,6 +80,36 @@
 	return &demand{job: model, zones: newZoneCheck(model), n: n, kept: true}
 }
 
+// keepFor demands room for n tasks like those of j. Where half of a job's tasks
+// must be in another zone, half of the room must be too.
+func (d *dispatcher) keepFor(j *job, n int) []*demand {
+	zones := d.zonesFor(j)
+	if !j.spec.Spread || len(zones) < 2 {
+		return []*demand{keep(j, n)}
+	}
+	var out []*demand
+	for _, z := range zones {
+		dm := keep(j, (n+1)/2)
+		dm.job.spec.Zone = z
+		dm.zones = newZoneCheck(dm.job)
+		out = append(out, dm)
+	}
+	return out
+}
+
+// zonesFor lists the zones with a type that holds a task of the job.
+func (d *dispatcher) zonesFor(j *job) []string {
+	var out []string
+	for _, name := range d.fitsOf(j) {
+		for _, z := range d.types[name].Zones {
+			if (j.spec.Zone == "" || j.spec.Zone == z) && !slices.Contains(out, z) {
+				out = append(out, z)
+			}
+		}
+	}
+	return out
+}
+
 // packing is a trial packing of the demands into the machines' room.
 type packing struct {
 	slots []*slot
