A leader without the state service stays healthy while it sees its peers

Cause: in a total outage the leader was taken off by the load balancer for nothing, and each removal doubles its way back. Its followers would only forward to it. Now a node is unwell where a living leader is out of its reach, or where it neither leads for certain nor sees any other.

--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -167,15 +167,23 @@
 }
 
 // Able tells whether users should be sent here: not where a leader lives but is
-// out of reach, nor to a leader that has lost the state service. While nobody
-// leads all nodes are as good.
+// out of reach, nor where this node neither leads for certain nor reaches any
+// other. While nobody leads all nodes that see each other are as good.
 func (n *Node) Able() bool {
 	v := n.view.Load()
-	if v.role.Leading {
-		return time.Now().Before(v.role.Certain.Add(n.settings.Tuning.LeaderLease))
+	if v.role.Leading && time.Now().Before(v.role.Certain) {
+		return true
 	}
 	leader, _ := n.leader(v)
-	return leader == "" || n.deps.Peers.Unheard(leader) <= n.settings.Tuning.LeaderLease
+	if leader != "" && leader != n.settings.Node {
+		return n.deps.Peers.Unheard(leader) <= n.settings.Tuning.LeaderLease
+	}
+	for _, p := range n.settings.Peers {
+		if n.deps.Peers.Unheard(p.Name) == 0 {
+			return true
+		}
+	}
+	return len(n.settings.Peers) == 0
 }
 
 // leader is who leads, first-hand or, where that is later, by the word of the
