--- a/internal/coordination/pressure.go
+++ b/internal/coordination/pressure.go
@@ -234,15 +234,19 @@
 // leastLeft is the share of its places that a backlog gets at the least.
 const leastLeft = 0.2
 
-// usualBatch is how many places ending work usually takes.
+// usualBatch is how many places ending work usually takes. While that can't be
+// told yet, more may come than there are places.
 func (d *dispatcher) usualBatch(now time.Time) float64 {
 	n := 0.0
 	for _, c := range d.classes {
-		if !c.last.spec.Service {
-			if tasks, _, window := d.rate(c, now); window > 0 {
-				n += tasks / window * d.runTime(c.last)
-			}
+		if c.last.spec.Service {
+			continue
+		}
+		tasks, _, window := d.rate(c, now)
+		if window == 0 {
+			return math.Inf(1)
 		}
+		n += tasks / window * d.runTime(c.last)
 	}
 	return n
 }
