Pressure no longer begins the healthy window of a shrink anew

DESIGN's window is one of healthy reports. Pressure bars a shrink while it lasts and for a cooldown after a step.

--- a/internal/coordination/capacity.go
+++ b/internal/coordination/capacity.go
@@ -234,15 +234,14 @@
 	frozen := now.Before(c.frozenTill) || fresh || !v.settled
 	if len(v.wants) == 0 {
 		c.upSince = time.Time{}
-	} else {
-		c.healthySince = time.Time{}
-		if c.upSince.IsZero() {
-			c.upSince = now
-		}
+	} else if c.upSince.IsZero() {
+		c.upSince = now
 	}
+	// Pressure bars a shrink while it lasts, and for a cooldown after a step;
+	// the window is one of healthy reports.
 	if !v.healthy || frozen {
 		c.healthySince = time.Time{}
-	} else if c.healthySince.IsZero() && len(v.wants) == 0 {
+	} else if c.healthySince.IsZero() {
 		c.healthySince = now
 	}
 	if frozen || c.recording || len(c.hires) > 0 {
@@ -277,6 +276,7 @@
 		c.log.Info("grow", "hire", name, "type", h.Type, "zone", h.Zone, "spot", h.Spot, "count", h.Count, "desired", c.desired)
 	}
 	c.upSince = now // what is still missing must hold for another window
+	c.coolTill = now.Add(c.settings.Tuning.Cooldown)
 	c.record(records, recordedMsg{hires: names})
 }
 
