--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -12,8 +12,6 @@
 	last     *job
 	arrivals []arrival
 	runS     float64 // mean run time of its tasks, as seen
-	guessS   float64 // mean of what the owners of its jobs expect
-	jobs     int
 }
 
 type arrival struct {
@@ -40,8 +38,6 @@
 		d.firstJob = j.submitted
 	}
 	c.last = j
-	c.jobs++
-	c.guessS += (j.spec.EstimateS - c.guessS) / float64(c.jobs)
 	if len(c.arrivals) >= arrivalsKept {
 		c.arrivals = c.arrivals[1:]
 	}
@@ -64,14 +60,6 @@
 	c.runS += runWeight * (run - c.runS)
 }
 
-// usualRun is how long a task of the class usually runs.
-func (c *class) usualRun() float64 {
-	if c.runS > 0 {
-		return c.runS
-	}
-	return c.guessS
-}
-
 // runTime is how long a task of the job runs, by what was seen of its class.
 func (d *dispatcher) runTime(j *job) float64 {
 	if c := d.classes[j.spec.Class]; c != nil && c.runS > 0 {
@@ -96,7 +84,7 @@
 	}
 	luck := d.settings.Tuning.Reserve
 	if batch {
-		run := c.usualRun() / window
+		run := d.runTime(c.last) / window
 		usual := tasks*run + luck*math.Sqrt(squares*run)
 		return max(0, int(usual)-d.present(s.Class))
 	}
--- a/internal/coordination/pressure.go
+++ b/internal/coordination/pressure.go
@@ -246,7 +246,7 @@
 		if window == 0 {
 			return math.Inf(1)
 		}
-		n += tasks / window * c.usualRun()
+		n += tasks / window * d.runTime(c.last)
 	}
 	return n
 }
@@ -315,9 +315,6 @@
 	bestCost := math.Inf(1)
 	for _, name := range d.fitsOf(dm.job) {
 		t := d.types[name]
-		if dm.kept && s.Room.GPUs == 0 && t.Room.GPUs > 0 {
-			continue // too dear for room that may not be needed
-		}
 		fit := fitCount(t.Room, s.Room)
 		for _, zone := range t.Zones {
 			if !dm.zones.allows(zone) {
