--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -11,7 +11,8 @@
 type class struct {
 	last     *job
 	arrivals []arrival
-	runS     float64 // mean run time of its tasks, as seen
+	leaves   []arrival // services that were cancelled, likewise
+	runS     float64   // mean run time of its tasks, as seen
 }
 
 type arrival struct {
@@ -38,10 +39,32 @@
 		d.firstJob = j.submitted
 	}
 	c.last = j
-	if len(c.arrivals) >= arrivalsKept {
-		c.arrivals = c.arrivals[1:]
+	c.arrivals = keepLast(c.arrivals, arrival{j.submitted, j.spec.Tasks})
+}
+
+// leave notes that a job of its class has been cancelled.
+func (d *dispatcher) leave(j *job, now time.Time) {
+	if c := d.classes[j.spec.Class]; c != nil {
+		c.leaves = keepLast(c.leaves, arrival{now, j.spec.Tasks})
+	}
+}
+
+// left counts the tasks of the jobs that have left since.
+func (c *class) left(since time.Time) float64 {
+	n := 0
+	for _, a := range c.leaves {
+		if a.at.After(since) {
+			n += a.tasks
+		}
+	}
+	return float64(n)
+}
+
+func keepLast(list []arrival, a arrival) []arrival {
+	if len(list) >= arrivalsKept {
+		list = list[1:]
 	}
-	c.arrivals = append(c.arrivals, arrival{j.submitted, j.spec.Tasks})
+	return append(list, a)
 }
 
 // arrivalsKept bounds what is kept of a class's arrivals.
@@ -69,7 +92,7 @@
 }
 
 // reserve is how many tasks of the class to keep room for. Of services, those
-// expected to come while a machine boots, and some for luck. Of other work of
+// expected to come while a machine boots beyond those that leave, and some for luck. Of other work of
 // some priority that may use spot machines, what its usual number of running
 // tasks, and some for luck, exceeds the present one by.
 func (d *dispatcher) reserve(c *class, now time.Time) int {
@@ -89,7 +112,8 @@
 		return max(0, int(usual)-d.present(s.Class))
 	}
 	boot := d.leastBoot(c.last) / window
-	return int(math.Ceil(tasks*boot + luck*math.Sqrt(squares*boot) - 0.5))
+	stay := max(0, tasks-c.left(now.Add(-seconds(window))))
+	return int(math.Ceil(stay*boot + luck*math.Sqrt(squares*boot) - 0.5))
 }
 
 // rate counts a class's tasks, and the sum of their jobs' squares, that came
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -191,6 +191,7 @@
 		return
 	case j.phase == storage.Open:
 		j.phase = storage.Cancelled
+		d.leave(j, now)
 		d.log.Debug("cancel", "job", j.spec.ID, "attempts", len(j.attempts))
 		d.markJob(j)
 		d.onCommit(func(err error) {
