--- a/internal/coordination/pressure.go
+++ b/internal/coordination/pressure.go
@@ -178,9 +178,6 @@
 // pack puts a demand's tasks into slots, wanting new ones where it must, and
 // returns how many count on machines that aren't up yet.
 func (d *dispatcher) pack(p *packing, dm *demand, e *ending, now time.Time) (coming int) {
-	for dm.n > 0 && d.yielding(p, dm) {
-		dm.n--
-	}
 	for dm.n > 0 {
 		if s := d.bestSlot(p, dm); s != nil {
 			coming += s.put(dm, e)
@@ -218,38 +215,6 @@
 	return coming
 }
 
-// yielding finds room to keep for a service where work of lower priority runs
-// that can save its progress: it would yield in time. Nothing needs be rented
-// for that.
-func (d *dispatcher) yielding(p *packing, dm *demand) bool {
-	j := dm.job
-	if !dm.kept || !j.spec.Service || j.spec.Priority < storage.High {
-		return false
-	}
-	for _, s := range p.slots {
-		if s.on == nil || !j.spec.Room.Fits(s.yields()) || !s.admits(j, &dm.zones) {
-			continue
-		}
-		s.yield = s.yield.Minus(j.spec.Room)
-		dm.zones.add(s.zone, 1)
-		return true
-	}
-	return false
-}
-
-// yields is the room of the tasks here that would yield to services.
-func (s *slot) yields() storage.Room {
-	if !s.summed {
-		s.summed = true
-		for _, a := range s.on.attempts {
-			if !a.stop && !a.job.spec.Service && a.job.spec.Priority < storage.High && a.job.spec.CheckpointS > 0 {
-				s.yield = s.yield.Plus(a.job.spec.Room)
-			}
-		}
-	}
-	return s.yield
-}
-
 // put packs one task of a demand here and returns 1 if it counts on a machine
 // that isn't up yet.
 func (s *slot) put(dm *demand, e *ending) int {
--- a/internal/coordination/slot.go
+++ b/internal/coordination/slot.go
@@ -19,9 +19,6 @@
 	on      *machine  // nil: not yet rented
 	packed  []*demand // what a trial packing has put here, a task each
 
-	yield  storage.Room // held by work that would yield to services
-	summed bool         // yield is reckoned
-
 	freeing storage.Room // held by attempts that are being stopped
 	looked  bool         // freeing is reckoned
 }
