--- a/internal/coordination/slot.go
+++ b/internal/coordination/slot.go
@@ -19,7 +19,6 @@
 	on      *machine  // nil: not yet rented
 	packed  []*demand // what a trial packing has put here, a task each
 
-	yield   storage.Room // of free: held by work that services may take the place of
 	freeing storage.Room // held by attempts that are being stopped
 	looked  bool         // freeing is reckoned
 }
--- a/internal/coordination/spare.go
+++ b/internal/coordination/spare.go
@@ -3,8 +3,6 @@
 import (
 	"sort"
 	"time"
-
-	"sagevale/internal/storage"
 )
 
 // spareTries bounds how many machines one look tries to do without; the next
@@ -129,9 +127,8 @@
 // lostStrangers finds machines that carry services and have not been heard
 // since the take-over, while nearly all others have. Their lease bound must
 // cover an earlier leader's hold and so is long; a deletion's 200 proves them
-// empty sooner. That is done only where their services find room elsewhere, if
-// need be in place of work of lower priority: a machine that comes back has its
-// images.
+// empty sooner. That is done only where their services find room elsewhere: a
+// machine that comes back has its images.
 func (d *dispatcher) lostStrangers(now time.Time) []int {
 	if !d.certain(now) || now.Sub(d.began) < max(scale(d.settings.Lease, strangerLease), d.settings.fresh()) {
 		return nil
@@ -152,15 +149,8 @@
 	}
 	var lost []int
 	slots := d.readySlots(now)
-	for _, s := range slots {
-		s.yield = lowerRoom(s.on)
-		s.free = s.free.Plus(s.yield)
-	}
-	suits := func(s *slot, j *job) bool {
-		return j.spec.Priority >= storage.High || j.spec.Room.Fits(s.free.Minus(s.yield))
-	}
 	for _, m := range silent {
-		undo, ok := d.tryMove(m, slots, false, suits)
+		undo, ok := d.tryMove(m, slots, false, lastResort)
 		if ok {
 			d.log.Info("unheard since the take-over", "machine", m.id, "attempts", len(m.attempts))
 			lost = append(lost, m.id)
@@ -170,15 +160,3 @@
 	}
 	return lost
 }
-
-// lowerRoom is the room of the tasks on a machine that services of high
-// priority may take.
-func lowerRoom(m *machine) storage.Room {
-	var room storage.Room
-	for _, a := range m.attempts {
-		if !a.job.spec.Service && a.job.spec.Priority < storage.High {
-			room = room.Plus(a.job.spec.Room)
-		}
-	}
-	return room
-}
