--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"sort"
-	"strings"
 	"time"
 
 	"sagevale/internal/storage"
@@ -128,144 +126,6 @@
 	return d, d.load(journal.Records())
 }
 
-// load rebuilds the state from the records: single ones first, then machines
-// and jobs, then the pages that refer to both.
-func (d *dispatcher) load(records []storage.Record) error {
-	order := func(key string) int { return strings.IndexByte("cfhmjp", key[0]) }
-	sort.SliceStable(records, func(a, b int) bool { return order(records[a].Key) < order(records[b].Key) })
-	for _, r := range records {
-		if err := d.loadRecord(r); err != nil {
-			return fmt.Errorf("record %s: %w", r.Key, err)
-		}
-	}
-	known := make([]*job, 0, len(d.jobs))
-	for _, j := range d.jobs {
-		known = append(known, j)
-	}
-	sort.Slice(known, func(a, b int) bool { return known[a].submitted.Before(known[b].submitted) })
-	for _, j := range known {
-		if j.tasks != nil {
-			d.arrival(j)
-		}
-		if j.phase == storage.Open || len(j.attempts) > 0 {
-			d.open[j.spec.ID] = j
-			d.openTasks += len(j.tasks)
-		} else {
-			j.tasks, j.waiting = nil, 0
-		}
-		if j.phase != storage.Open {
-			d.stopAll(j)
-		}
-	}
-	return nil
-}
-
-func (d *dispatcher) loadRecord(r storage.Record) error {
-	rest := r.Key[1:]
-	switch r.Key[0] {
-	case storage.KindCatalogue:
-		var types []storage.MachineType
-		if err := json.Unmarshal(r.Data, &types); err != nil {
-			return err
-		}
-		d.setTypes(types)
-	case storage.KindFleet:
-		var f storage.FleetRecord
-		if err := json.Unmarshal(r.Data, &f); err != nil {
-			return err
-		}
-		d.desired = f.Desired
-	case storage.KindHire:
-		var h storage.HireRecord
-		if err := json.Unmarshal(r.Data, &h); err != nil {
-			return err
-		}
-		d.hires[rest] = h
-	case storage.KindMachine:
-		var rec storage.MachineRecord
-		if err := json.Unmarshal(r.Data, &rec); err != nil {
-			return err
-		}
-		var id int
-		if _, err := fmt.Sscan(rest, &id); err != nil {
-			return err
-		}
-		m := d.machine(id)
-		m.born = d.began
-		m.addr, m.kind, m.zone, m.spot, m.session = rec.Addr, rec.Type, rec.Zone, rec.Spot, rec.Session
-		m.returning, m.recorded, m.typ = rec.Returning, true, d.types[rec.Type]
-	case storage.KindJob:
-		var rec storage.JobRecord
-		if err := json.Unmarshal(r.Data, &rec); err != nil {
-			return err
-		}
-		d.loadJob(rest, rec)
-	case storage.KindPage:
-		var rec storage.PageRecord
-		if err := json.Unmarshal(r.Data, &rec); err != nil {
-			return err
-		}
-		id, _, _ := strings.Cut(rest, "/")
-		d.loadPage(id, rec)
-	}
-	return nil
-}
-
-func (d *dispatcher) loadJob(id string, rec storage.JobRecord) {
-	spec := storage.Spec{Tasks: rec.Tasks}
-	if rec.Spec != nil {
-		spec = *rec.Spec
-	}
-	spec.ID = id
-	j := newJob(spec, time.UnixMilli(rec.AtMS))
-	j.phase, j.known, j.settled = rec.Phase, true, rec.Phase != storage.Open
-	if j.settled {
-		j.done = rec.DoneOf
-		if rec.Spec == nil {
-			j.tasks, j.waiting = nil, 0
-		}
-	}
-	d.jobs[id] = j
-}
-
-func (d *dispatcher) loadPage(id string, rec storage.PageRecord) {
-	j := d.jobs[id]
-	if j == nil || j.tasks == nil {
-		return
-	}
-	doneBefore := j.done
-	for i := 0; i+1 < len(rec.Done); i += 2 {
-		for t := rec.Done[i]; t <= rec.Done[i+1]; t++ {
-			j.setTask(t, taskDone)
-		}
-	}
-	if j.settled {
-		j.done = doneBefore
-	}
-	for _, ar := range rec.Attempts {
-		m := d.machine(ar.Machine)
-		a := &attempt{job: j, task: ar.Task, try: ar.Try, on: m, session: ar.Session, durable: true, booked: d.began}
-		d.enter(a)
-		m.session = max(m.session, ar.Session)
-	}
-}
-
-func (d *dispatcher) setTypes(types []storage.MachineType) {
-	d.types = make(map[string]*storage.MachineType, len(types))
-	d.typeNames = d.typeNames[:0]
-	for i := range types {
-		t := types[i]
-		d.types[t.Name] = &t
-		d.typeNames = append(d.typeNames, t.Name)
-	}
-	for _, m := range d.machines {
-		m.typ = d.types[m.kind]
-	}
-	for _, j := range d.jobs {
-		j.fits = nil
-	}
-}
-
 // post sends a message that must not be lost; the mailbox is large, and an
 // ended dispatcher takes nothing.
 func (d *dispatcher) post(m any) {
--- /dev/null
+++ b/internal/coordination/grown_test.go
@@ -0,0 +1,370 @@
+package coordination
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sagevale/internal/storage"
+	"sagevale/internal/storage/storagetest"
+)
+
+// desk is a dispatcher without the actors around it, for what a look or a
+// round decides. Its clock stands still unless the test moves it.
+func newDesk(tb testing.TB, s Settings) *dispatcher {
+	tb.Helper()
+	svc := storagetest.NewService()
+	tb.Cleanup(svc.Close)
+	client := &storagetest.Client{Service: svc, Cut: new(bool)}
+	journal, err := storage.OpenJournal(context.Background(), client, s.State, storage.Guard{Key: leadKey})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	now := time.Now()
+	role := Role{Leading: true, Term: 2, Certain: now.Add(time.Hour), HoldOut: now.Add(time.Hour)}
+	d, err := newDispatcher(&s, Deps{Workers: silentWorkers{}, Rand: rand.New(rand.NewPCG(7, 7))}, role, journal, make(chan uint64, 1), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	d.setTypes(testTypes)
+	d.listed = true
+	return d
+}
+
+// silentWorkers never get a direct order.
+type silentWorkers struct{}
+
+func (silentWorkers) Orders(context.Context, string, uint64, uint64, []Order) (Outcome, *Report) {
+	return NotSent, nil
+}
+
+// grownSettings are figures of a large site.
+func grownSettings() Settings {
+	s := Settings{
+		Zones: []string{"a", "b"}, Report: 4 * time.Second, Lease: 22 * time.Second, Cancel: 52 * time.Second,
+		Teams:    []Team{{Name: "team"}},
+		State:    storage.Limits{RequestsPerS: 100, ChangesPerS: 40, ValueBytes: 8192, TxnOps: 32},
+		CloudRPS: 6, ListLag: 4 * time.Second, MemoryMB: 98, Sockets: 1000,
+	}
+	s.Tuning = s.DefaultTuning()
+	return s
+}
+
+// up makes a machine that has just reported under the present token.
+func (d *dispatcher) up(id int, kind, zone string, spot bool) *machine {
+	m := d.machine(id)
+	d.apply(m, &Report{Machine: id, Addr: fmt.Sprint(id), Type: kind, Zone: zone, Spot: spot, Session: 1, Seq: m.seq + 1, Token: d.term}, true, time.Now())
+	return m
+}
+
+// accept enters a job as if its acceptance were durable.
+func (d *dispatcher) accept(spec storage.Spec) *job {
+	j := newJob(spec, time.Now())
+	j.known = true
+	d.jobs[spec.ID], d.open[spec.ID] = j, j
+	d.arrival(j)
+	return j
+}
+
+// look makes one trial packing of all that waits and is to be kept.
+func (d *dispatcher) look() *packing {
+	p := &packing{dry: make(dryness), slots: d.readySlots(time.Now())}
+	d.shortage(p, d.demands(time.Now()), len(d.order), time.Now())
+	return p
+}
+
+func spread(id string, tasks int) storage.Spec {
+	s := service(id, tasks)
+	s.Spread = true
+	return s
+}
+
+// The cloud calls a rental of more than fifty machines malformed, and that
+// looked like a type that is sold out.
+func TestRentalsStayWithinWhatTheCloudTakes(t *testing.T) {
+	var wants []offer
+	for i := range 173 {
+		wants = append(wants, offer{"gpu", []string{"a", "b"}[i%2], i%5 == 0})
+	}
+	total := 0
+	for _, h := range hiresFor(wants) {
+		if h.Count < 1 || h.Count > hireMost {
+			t.Errorf("a rental of %d machines", h.Count)
+		}
+		total += h.Count
+	}
+	if total != len(wants) {
+		t.Errorf("%d of %d machines asked for", total, len(wants))
+	}
+}
+
+// Hundreds of services at once: the fleet grows to what they need in steps
+// that at most double it, and all run within a few boots.
+func TestAFleetGrowsFromNothingToHundreds(t *testing.T) {
+	inWorld(t, func(w *world) {
+		for i := range 120 {
+			w.submit(spread(fmt.Sprintf("%06d", i), 6))
+		}
+		w.eventually("all run", 90*time.Second, func() bool {
+			n := 0
+			for _, wk := range w.all() {
+				n += len(wk.report().Tasks)
+			}
+			return n >= 720
+		})
+		// Four tasks fit a machine: 180, and half of what boots once more
+		// while few are up.
+		if n := len(w.all()); n < 180 || n > 270 {
+			t.Errorf("%d machines for 180 machines' work", n)
+		}
+		for name, got := range w.cloud.hires {
+			if len(got) > hireMost {
+				t.Errorf("rental %s is of %d machines", name, len(got))
+			}
+		}
+	})
+}
+
+func TestAStepAtMostDoublesTheFleet(t *testing.T) {
+	tuning := Tuning{GrowStep: 50}
+	for size, want := range map[int]int{0: 50, 30: 50, 51: 51, 400: 400} {
+		if got := tuning.growBound(size); got != want {
+			t.Errorf("a fleet of %d may grow by %d, not %d", size, got, want)
+		}
+	}
+}
+
+// One machine at a time is returned, but a large fleet must not take hours.
+func TestTheCooldownFollowsTheFleet(t *testing.T) {
+	s := grownSettings()
+	small, large := s.Tuning.cooldown(coolFleet/2), s.Tuning.cooldown(8*coolFleet)
+	if small != s.Tuning.Cooldown || large != s.Tuning.Cooldown/8 {
+		t.Errorf("cooldowns of %v and %v", small, large)
+	}
+}
+
+// Half of a spread job must be in another zone: room kept in one alone let
+// every job wait for the other.
+func TestRoomIsKeptInEachZoneThatSpreadJobsNeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		d.firstJob = time.Now().Add(-3 * d.settings.Lease)
+		for i := range 4 {
+			d.up(i+1, "cpu", "a", false) // ample room, all in one zone
+		}
+		j := d.accept(spread("000001", 4))
+		for i := range 4 {
+			d.enter(&attempt{job: j, task: i, try: uint64(i), on: d.up(10+i, "gpu", "b", false), session: 1, mine: true, seen: true})
+		}
+		d.perGPU()
+		d.gpuNeed = storage.Room{CPUs: 8} // nothing to spare beside accelerators
+		var inB int
+		for _, o := range d.look().wants {
+			if o.zone == "b" {
+				inB++
+			}
+		}
+		if inB == 0 {
+			t.Error("no room is kept in the zone that has none")
+		}
+	})
+}
+
+// With only accelerator machines on offer, tasks without accelerators fill
+// those that are rented for them; once each task wanted a machine of its own.
+func TestPlainTasksFillTheMachineRentedForThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		s := service("000001", 40)
+		s.Types = []string{"gpu"}
+		d.accept(s)
+		if n := len(d.look().wants); n != 2 {
+			t.Errorf("%d machines of 32 places for 40 tasks", n)
+		}
+	})
+}
+
+// What a shape has searched in vain isn't searched again, but for slots that
+// were added since.
+func TestAShapeIsSearchedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		for i := range 100 {
+			d.up(i+1, "cpu", "a", false)
+		}
+		j := d.accept(service("000001", 1000))
+		r := &round{now: time.Now(), slots: d.readySlots(time.Now()), dry: make(dryness), hard: make(dryness)}
+		r.zones = zonesOf(r.slots)
+		d.placeJob(j, r)
+		zones := newZoneCheck(j)
+		if len(r.booked) != 400 || r.dry.from(j.shape(), &zones, r.zones) != len(r.slots) {
+			t.Fatalf("%d booked, searched up to %d", len(r.booked), r.dry.from(j.shape(), &zones, r.zones))
+		}
+		r.slots = append(r.slots, d.slotOf(d.up(200, "cpu", "a", false)))
+		if s := d.choose(j, r, &zones); s == nil || s.on.id != 200 {
+			t.Error("the slot that was added isn't found")
+		}
+	})
+}
+
+// Each waiting task claims room of its own; once all of them counted on the
+// first machine that was being freed.
+func TestPreemptionMakesRoomForEachWaitingTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		low := sweep("000001", 40)
+		low.Priority = storage.BestEffort
+		j := d.accept(low)
+		for i := range 10 {
+			m := d.up(i+1, "cpu", "a", false)
+			for k := range 4 {
+				d.enter(&attempt{job: j, task: 4*i + k, try: uint64(4*i + k + 1), on: m, session: 1, mine: true, seen: true, state: Running, started: time.Now()})
+			}
+		}
+		d.accept(service("000002", 12))
+		d.placeRound(time.Now())
+		d.placeRound(time.Now()) // what is being freed isn't made room for twice
+		stopped := 0
+		for _, a := range j.attempts {
+			if a.stop {
+				stopped++
+			}
+		}
+		if stopped != 12 {
+			t.Errorf("%d tasks are stopped for 12", stopped)
+		}
+	})
+}
+
+// Behind a cut a machine may be back sooner than another boots; returned at
+// once, half a fleet was lost with a zone's cut.
+func TestACutMachineIsNotReturnedAtOnce(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.submit(service("000001", 40))
+		w.eventually("the service runs", 2*time.Minute, func() bool { return len(w.running("000001")) == 40 })
+		var cut []*fakeWorker // that carry tasks; idle ones may be returned
+		for _, wk := range w.all() {
+			if len(wk.tasks) > 0 && len(cut) < 5 {
+				wk.cut = true
+				cut = append(cut, wk)
+			}
+		}
+		time.Sleep(w.settings.Lease + 8*time.Second)
+		for _, wk := range cut {
+			if wk.dead {
+				t.Error("a machine was returned that is cut off")
+			}
+			wk.cut = false
+		}
+		w.eventually("the service runs again", time.Minute, func() bool { return len(w.running("000001")) == 40 })
+	})
+}
+
+// A node that the state service alone refuses learns the leader from its peers.
+func TestARefusedNodeForwardsByItsPeersWord(t *testing.T) {
+	inWorld(t, func(w *world) {
+		old := w.awaitLeader()
+		time.Sleep(5 * time.Second)
+		old.cutState = true
+		w.eventually("a successor leads", 30*time.Second, func() bool { n := w.leader(); return n != nil && n != old })
+		w.eventually("the old leader has stepped down", 3*time.Second, func() bool { return old.node.view.Load().desk == nil })
+		spec := sweep("000001", 1)
+		w.upload(spec)
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		if a := old.node.User(ctx, UserRequest{Op: OpSubmit, ID: spec.ID, Spec: spec}); a.Code != CodeCreated {
+			t.Errorf("not forwarded: %+v", a)
+		}
+		if !old.node.Able() {
+			t.Error("it isn't well though it reaches the leader")
+		}
+		if a := old.node.Beat(ctx, &Report{Machine: 900, Session: 1, Seq: 1}); a.Leader == "" || a.Leader == old.name {
+			t.Errorf("a worker is sent to %q", a.Leader)
+		}
+	})
+}
+
+// Users are kept away from a node from which no leader can be reached.
+func TestANodeBeyondItsLeaderIsUnwell(t *testing.T) {
+	inWorld(t, func(w *world) {
+		lead := w.awaitLeader()
+		time.Sleep(5 * time.Second)
+		for _, n := range w.nodes {
+			if !n.node.Able() {
+				t.Errorf("%s is unwell on a quiet day", n.name)
+			}
+			n.cutPeers = n != lead
+		}
+		for _, n := range w.nodes {
+			if n.node.Able() != (n == lead) {
+				t.Errorf("%s: able %v", n.name, n.node.Able())
+			}
+		}
+	})
+}
+
+// A renewal that overlaps a resignation must not make the leader certain again.
+func TestAResignedLeaderStaysUncertain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		role := d.role
+		d.stepDown("told to")
+		d.handle(roleMsg{role})
+		if d.certain(time.Now()) || time.Now().Before(d.role.HoldOut) {
+			t.Error("a resigned leader is certain")
+		}
+	})
+}
+
+// Two tries of a task may have been started directly on one machine; the late
+// repeat of either must find it known.
+func TestBothTriesOfATaskStayKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		m := d.up(1, "cpu", "a", false)
+		j := d.accept(sweep("000001", 1))
+		r := &Report{Machine: 1, Addr: "1", Type: "cpu", Zone: "a", Session: 1, Token: d.term}
+		for try := uint64(1); try <= 2; try++ {
+			a := &attempt{job: j, task: 0, try: try, on: m, session: 1, mine: true, durable: true, direct: directSettled}
+			d.enter(a)
+			r.Tasks = append(r.Tasks, TaskReport{ID: a.id(), Try: try, State: Ended, Cause: CauseStopped})
+			r.Seq = m.seq + 1
+			d.apply(m, r, true, time.Now())
+		}
+		clear(d.dirty)
+		for _, o := range d.ordersFor(m, r, time.Now()) {
+			if o.Verb == Forget {
+				t.Errorf("try %d is to be forgotten", o.Try)
+			}
+		}
+	})
+}
+
+// A take-over tells its workers the token some at a time: all at once took
+// every socket that their own reports need.
+func TestGreetsKeepToTheirSockets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		for i := range 400 {
+			m := d.machine(i + 1)
+			m.addr, m.session = fmt.Sprint(i+1), 1
+		}
+		d.ungreeted = append(d.ungreeted, d.order...)
+		told := 0
+		for d.spreadToken(); d.greeting > 0; {
+			if d.greeting > d.settings.greets() {
+				t.Fatalf("%d greets at a time", d.greeting)
+			}
+			d.handle(<-d.mailbox)
+			told++
+		}
+		if told != 400 {
+			t.Errorf("%d of 400 were told", told)
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/orders.go
@@ -0,0 +1,178 @@
+package coordination
+
+import (
+	"context"
+	"time"
+)
+
+// ordersFor makes the orders that go with the answer to a report.
+func (d *dispatcher) ordersFor(m *machine, r *Report, now time.Time) []Order {
+	var out []Order
+	for _, a := range m.sortedAttempts() {
+		if a.session != r.Session {
+			continue
+		}
+		switch {
+		case a.stop && a.seen:
+			if a.state != Saving || a.graceS == 0 {
+				out = append(out, Order{Verb: Stop, ID: a.id(), Try: a.try, GraceS: a.graceS})
+			}
+		case a.stop && !a.sent():
+			d.free(a, "stopped before its start")
+		case a.stop && (a.direct == directUnresolved || a.direct == directSettled):
+			// The start may still come, minutes late. Having the worker learn
+			// the attempt and end it makes the late start void.
+			if d.certain(now) {
+				a.beatSeq = r.Seq
+				out = append(out, Order{Verb: Start, ID: a.id(), Try: a.try})
+			}
+			out = append(out, Order{Verb: Stop, ID: a.id(), Try: a.try})
+		case a.stop && !a.seen && a.beatSeq != 0 && r.Seq > a.beatSeq && a.direct != directInFlight && r.Token == d.term:
+			d.free(a, "its start was not executed")
+		case a.stop:
+		case !a.seen && a.durable && d.certain(now) && !m.returning:
+			a.beatSeq = r.Seq
+			out = append(out, Order{Verb: Start, ID: a.id(), Try: a.try})
+		}
+	}
+	for _, t := range m.strays {
+		out = append(out, Order{Verb: Stop, ID: t.ID, Try: t.Try})
+	}
+	m.strays = m.strays[:0]
+	for _, t := range m.ended {
+		if a := m.attempts[t.ID]; a != nil && a.try == t.Try {
+			continue
+		}
+		// A start that went directly may be repeated late: only an attempt
+		// that the worker still knows makes that harmless.
+		if m.tainted[taskTry{t.ID, t.Try}] || !d.certain(now) || !d.pageSettled(t.ID) {
+			continue
+		}
+		out = append(out, Order{Verb: Forget, ID: t.ID, Try: t.Try})
+	}
+	return out
+}
+
+// orderStops tells the workers of a job's stopped attempts directly.
+func (d *dispatcher) orderStops(j *job) {
+	orders := make(map[*machine][]Order)
+	for _, a := range j.attempts {
+		if a.stop && a.session == a.on.session {
+			orders[a.on] = append(orders[a.on], Order{Verb: Stop, ID: a.id(), Try: a.try, GraceS: a.graceS})
+		}
+	}
+	for m, o := range orders {
+		d.direct(m, o, nil)
+	}
+}
+
+// direct sends orders straight to a worker. The starts among them are loose
+// until the answer comes.
+func (d *dispatcher) direct(m *machine, orders []Order, starts []*attempt) {
+	if m.addr == "" || m.session == 0 {
+		return
+	}
+	for _, a := range starts {
+		a.direct = directInFlight
+	}
+	d.send(m, orders, starts, d.settings.Report)
+}
+
+func (d *dispatcher) send(m *machine, orders []Order, starts []*attempt, limit time.Duration) {
+	addr, session, id := m.addr, m.session, m.id
+	go func() {
+		ctx, cancel := context.WithTimeout(d.ctx, limit)
+		defer cancel()
+		outcome, report := d.deps.Workers.Orders(ctx, addr, d.term, session, orders)
+		d.post(directMsg{machine: id, greet: len(orders) == 0, starts: starts, outcome: outcome, report: report})
+	}()
+}
+
+// greet spreads our token to one worker, unless as many as the sockets allow
+// are being told already: then its own next report brings it the token.
+func (d *dispatcher) greet(m *machine) bool {
+	if d.greeting >= d.settings.greets() {
+		return false
+	}
+	if m.token >= d.term || m.returning || m.addr == "" || m.session == 0 {
+		return true // knows it, or can't be told
+	}
+	d.greeting++
+	d.send(m, nil, nil, scale(d.settings.Report, greetPerReport))
+	return true
+}
+
+// greetPerReport is how long a worker has to take our token, in report
+// intervals: behind a cut it would only hold a socket.
+const greetPerReport = 0.25
+
+// spreadToken tells all known workers at the start of a term that their old
+// leader's commands are over, some at a time.
+func (d *dispatcher) spreadToken() {
+	for len(d.ungreeted) > 0 {
+		m := d.ungreeted[0]
+		if d.machines[m.id] == m && !d.greet(m) {
+			return
+		}
+		d.ungreeted = d.ungreeted[1:]
+	}
+}
+
+// handleDirect takes in what became of direct orders.
+func (d *dispatcher) handleDirect(msg directMsg) {
+	now := time.Now()
+	m := d.machines[msg.machine]
+	if msg.greet {
+		d.greeting--
+		d.spreadToken()
+	}
+	defer d.dropUnsent(msg.starts)
+	for _, a := range msg.starts {
+		switch msg.outcome {
+		case Executed:
+			a.direct = directSettled
+		case NotSent, Rejected:
+			a.direct = directNone
+		case Unresolved:
+			a.direct = directUnresolved
+		}
+	}
+	if m == nil || msg.report == nil {
+		return
+	}
+	r := msg.report
+	if r.Machine != m.id {
+		return
+	}
+	if r.Token > d.term {
+		d.stepDown("a worker knows a higher token")
+		return
+	}
+	d.apply(m, r, false, now)
+	// What is to be stopped but was first seen here needn't wait for a report.
+	d.stopSeen(m)
+}
+
+// dropUnsent takes out what was stopped while its start was on its way and
+// turned out not to have been executed.
+func (d *dispatcher) dropUnsent(starts []*attempt) {
+	for _, a := range starts {
+		if a.stop && !a.sent() {
+			d.free(a, "stopped before its start")
+		}
+	}
+}
+
+// stopSeen tells one worker directly what to stop.
+func (d *dispatcher) stopSeen(m *machine) {
+	var orders []Order
+	for _, a := range m.sortedAttempts() {
+		if a.stop && a.seen && a.state != Saving && !a.stopSent {
+			a.stopSent = true
+			orders = append(orders, Order{Verb: Stop, ID: a.id(), Try: a.try, GraceS: a.graceS})
+		}
+	}
+	if len(orders) > 0 {
+		d.direct(m, orders, nil)
+	}
+}
