--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -187,18 +187,18 @@
 	return boot
 }
 
-// perGPU is the most CPUs and memory that open jobs take with an accelerator.
-func (d *dispatcher) perGPU() storage.Room {
-	if d.gpuNeedAt.IsZero() || time.Since(d.gpuNeedAt) > d.settings.Report {
-		d.gpuNeedAt = time.Now()
-		var need storage.Room
-		for _, j := range d.open {
-			if g := j.spec.Room.GPUs; g > 0 {
-				need.CPUs = max(need.CPUs, j.spec.Room.CPUs/g)
-				need.MemoryGB = max(need.MemoryGB, j.spec.Room.MemoryGB/g)
-			}
+// learnPerGPU reckons, once an interval, the most CPUs and memory that open jobs
+// take with an accelerator. Rounds and looks begin with it.
+func (d *dispatcher) learnPerGPU(now time.Time) {
+	if !d.perGPUAt.IsZero() && now.Sub(d.perGPUAt) <= d.settings.Report {
+		return
+	}
+	d.perGPUAt = now
+	d.perGPU = storage.Room{}
+	for _, j := range d.open {
+		if g := j.spec.Room.GPUs; g > 0 {
+			d.perGPU.CPUs = max(d.perGPU.CPUs, j.spec.Room.CPUs/g)
+			d.perGPU.MemoryGB = max(d.perGPU.MemoryGB, j.spec.Room.MemoryGB/g)
 		}
-		d.gpuNeed = need
 	}
-	return d.gpuNeed
 }
--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -69,8 +69,8 @@
 
 	listed     bool         // the cloud's list has been seen in this term
 	goneBefore map[int]bool // machines whose return the cloud has confirmed
-	gpuNeed    storage.Room
-	gpuNeedAt  time.Time
+	perGPU     storage.Room // what is taken with an accelerator at the most
+	perGPUAt   time.Time
 	firstJob   time.Time  // when the first job ever came
 	ungreeted  []*machine // known at the take-over and not yet told our token
 	greeting   int        // workers being told now
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -70,6 +70,7 @@
 		p.slots = append(p.slots, d.slotOf(m))
 	}
 	if d.certain(now) {
+		d.learnPerGPU(now)
 		d.shortage(p, d.demands(now), v.size, now)
 		v.wants = p.wants
 		if len(v.wants) == 0 && v.healthy && !v.draining {
--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -161,8 +161,7 @@
 		for i := range 4 {
 			d.enter(&attempt{job: j, task: i, try: uint64(i), on: d.up(10+i, "gpu", "b", false), session: 1, mine: true, seen: true})
 		}
-		d.perGPU()
-		d.gpuNeed = storage.Room{CPUs: 8} // nothing to spare beside accelerators
+		d.perGPU, d.perGPUAt = storage.Room{CPUs: 8}, time.Now() // nothing to spare beside accelerators
 		var inB int
 		for _, o := range d.look().wants {
 			if o.zone == "b" {
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -41,6 +41,7 @@
 		return
 	}
 	d.byUrgency(waiting, now)
+	d.learnPerGPU(now)
 	r := &round{now: now, slots: d.readySlots(now), dry: make(dryness), hard: make(dryness)}
 	r.zones = zonesOf(r.slots)
 	for _, j := range waiting {
@@ -261,7 +262,7 @@
 	if j.spec.Room.GPUs > 0 || s.typ.Room.GPUs == 0 {
 		return false
 	}
-	need := d.perGPU()
+	need := d.perGPU
 	left := s.free.Minus(j.spec.Room)
 	return left.CPUs < need.CPUs*s.free.GPUs || left.MemoryGB < need.MemoryGB*s.free.GPUs
 }
--- a/internal/coordination/spare.go
+++ b/internal/coordination/spare.go
@@ -149,6 +149,7 @@
 	}
 	var lost []int
 	slots := d.readySlots(now)
+	d.learnPerGPU(now)
 	for _, m := range silent {
 		undo, ok := d.tryMove(m, slots, false, lastResort)
 		if ok {
