Reckon a job's run time between its class's mean and its owner's guess

Change: the class's mean times the square root of this guess over the mean guess; owners are often wrong by half.

--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -13,6 +13,7 @@
 	arrivals []arrival
 	leaves   []arrival // services that were cancelled, likewise
 	runS     float64   // mean run time of its tasks, as seen
+	guessS   float64   // mean of what their owners had expected
 }
 
 type arrival struct {
@@ -70,25 +71,40 @@
 // arrivalsKept bounds what is kept of a class's arrivals.
 const arrivalsKept = 512
 
-// ran takes a finished task's run time into its class's mean.
+// ran takes a finished task's run time, and what its owner had expected, into
+// its class's means.
 func (d *dispatcher) ran(a *attempt, now time.Time) {
 	c := d.classes[a.job.spec.Class]
 	if c == nil || a.started.IsZero() {
 		return
 	}
-	run := now.Sub(a.started).Seconds()
+	run, guess := now.Sub(a.started).Seconds(), a.job.spec.EstimateS
 	if c.runS == 0 {
-		c.runS = run
+		c.runS, c.guessS = run, guess
 	}
 	c.runS += runWeight * (run - c.runS)
+	c.guessS += runWeight * (guess - c.guessS)
 }
 
-// runTime is how long a task of the job runs, by what was seen of its class.
+// runTime is how long a task of the job runs: between what its class usually
+// runs and what its owner expects, for owners are often wrong by half.
 func (d *dispatcher) runTime(j *job) float64 {
-	if c := d.classes[j.spec.Class]; c != nil && c.runS > 0 {
+	c, guess := d.classes[j.spec.Class], j.spec.EstimateS
+	switch {
+	case c == nil || c.runS <= 0:
+		return guess
+	case guess <= 0 || c.guessS <= 0:
 		return c.runS
 	}
-	return j.spec.EstimateS
+	return c.runS * math.Sqrt(guess/c.guessS)
+}
+
+// usualRun is how long a task of the class usually runs.
+func (d *dispatcher) usualRun(c *class) float64 {
+	if c.runS > 0 {
+		return c.runS
+	}
+	return c.last.spec.EstimateS
 }
 
 // reserve is how many tasks of the class to keep room for. Of services, those
@@ -107,7 +123,7 @@
 	}
 	luck := d.settings.Tuning.Reserve
 	if batch {
-		run := d.runTime(c.last) / window
+		run := d.usualRun(c) / window
 		usual := tasks*run + luck*math.Sqrt(squares*run)
 		return max(0, int(usual)-d.present(s.Class))
 	}
--- a/internal/coordination/pressure.go
+++ b/internal/coordination/pressure.go
@@ -246,7 +246,7 @@
 		if window == 0 {
 			return math.Inf(1)
 		}
-		n += tasks / window * d.runTime(c.last)
+		n += tasks / window * d.usualRun(c)
 	}
 	return n
 }
