--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -367,3 +367,27 @@
 		}
 	})
 }
+
+// What a machine has fetched outlives the leader that saw it: after a take-over
+// replicas went to machines that had to fetch their images.
+func TestANewLeaderKnowsTheFetchedImages(t *testing.T) {
+	inWorld(t, func(w *world) {
+		s := sweep("000001", 1)
+		s.Image = "seldom"
+		w.submit(s)
+		w.submit(service("000002", 1))
+		w.eventually("the sweep is done", 2*time.Minute, func() bool { return w.poll("000001").State == StateDone })
+		old := w.awaitLeader()
+		time.Sleep(5 * time.Second)
+		old.kill()
+		w.eventually("a successor leads", 30*time.Second, func() bool { n := w.leader(); return n != nil && n != old })
+		known := false
+		for _, m := range w.leader().node.view.Load().desk.machines {
+			_, ok := m.images["seldom"]
+			known = known || ok
+		}
+		if !known {
+			t.Error("no machine is known to have the image")
+		}
+	})
+}
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -75,6 +75,9 @@
 		m := d.machine(id)
 		m.born = d.began
 		m.addr, m.kind, m.zone, m.spot, m.session = rec.Addr, rec.Type, rec.Zone, rec.Spot, rec.Session
+		for name, gb := range rec.Images {
+			m.images[name] = image{gb, d.began}
+		}
 		m.returning, m.recorded, m.typ = rec.Returning, true, d.types[rec.Type]
 	case storage.KindJob:
 		var rec storage.JobRecord
--- a/internal/coordination/machine.go
+++ b/internal/coordination/machine.go
@@ -78,11 +78,14 @@
 }
 
 // useImage notes that an image is in use and forgets the least recently used
-// ones beyond the cache.
+// ones beyond the cache. An image that is new here is to be recorded.
 func (m *machine) useImage(name string, gb float64, now time.Time) {
 	if name == "" {
 		return
 	}
+	if _, ok := m.images[name]; !ok {
+		m.recorded = false
+	}
 	m.images[name] = image{gb, now}
 	if m.typ == nil {
 		return
@@ -104,7 +107,14 @@
 }
 
 func (m *machine) record() *storage.MachineRecord {
-	return &storage.MachineRecord{Addr: m.addr, Type: m.kind, Zone: m.zone, Spot: m.spot, Session: m.session, Returning: m.returning}
+	rec := &storage.MachineRecord{Addr: m.addr, Type: m.kind, Zone: m.zone, Spot: m.spot, Session: m.session, Returning: m.returning}
+	if len(m.images) > 0 {
+		rec.Images = make(map[string]float64, len(m.images))
+		for name, im := range m.images {
+			rec.Images[name] = im.gb
+		}
+	}
+	return rec
 }
 
 // sortedAttempts returns the attempts in a steady order.
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -121,6 +121,9 @@
 	Spot      bool   `json:"l,omitempty"`
 	Session   uint64 `json:"r,omitempty"`
 	Returning bool   `json:"x,omitempty"`
+	// Images are those that it has fetched, with their size in GB: a new leader
+	// would otherwise place as if every image but the running ones were to fetch.
+	Images map[string]float64 `json:"i,omitempty"`
 }
 
 // HireRecord is a rental request, recorded under its name before it is sent.
