--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -61,6 +61,17 @@
 	return float64(n)
 }
 
+// elsewhere is the share of the class's tasks that spread jobs must have in
+// another zone than their first.
+func (c *class) elsewhere() float64 {
+	all, half := 0, 0
+	for _, a := range c.arrivals {
+		all += a.tasks
+		half += a.tasks / 2
+	}
+	return float64(half) / float64(max(all, 1))
+}
+
 func keepLast(list []arrival, a arrival) []arrival {
 	if len(list) >= arrivalsKept {
 		list = list[1:]
--- a/internal/coordination/pressure.go
+++ b/internal/coordination/pressure.go
@@ -61,7 +61,7 @@
 	for _, n := range names {
 		c := d.classes[n]
 		if k := max(d.reserve(c, now), fullest[n]); k > 0 {
-			out = append(out, d.keepFor(c.last, k)...)
+			out = append(out, d.keepFor(c, k)...)
 		}
 	}
 	return out
@@ -80,19 +80,25 @@
 	return &demand{job: model, zones: newZoneCheck(model), n: n, kept: true}
 }
 
-// keepFor demands room for n tasks like those of j. Where half of a job's tasks
-// must be in another zone, half of the room must be too.
-func (d *dispatcher) keepFor(j *job, n int) []*demand {
-	zones := d.zonesFor(j)
-	if !j.spec.Spread || len(zones) < 2 {
-		return []*demand{keep(j, n)}
-	}
+// keepFor demands room for n tasks like those of a class. What spread jobs must
+// have in another zone, half of each rounded down, is kept in every zone.
+func (d *dispatcher) keepFor(c *class, n int) []*demand {
 	var out []*demand
-	for _, z := range zones {
-		dm := keep(j, (n+1)/2)
-		dm.job.spec.Zone = z
-		dm.zones = newZoneCheck(dm.job)
-		out = append(out, dm)
+	if zones := d.zonesFor(c.last); c.last.spec.Spread && len(zones) > 1 {
+		each := int(math.Round(c.elsewhere() * float64(n)))
+		for _, z := range zones {
+			if each == 0 {
+				break
+			}
+			dm := keep(c.last, each)
+			dm.job.spec.Zone = z
+			dm.zones = newZoneCheck(dm.job)
+			out = append(out, dm)
+		}
+		n -= each * len(zones)
+	}
+	if n > 0 {
+		out = append(out, keep(c.last, n))
 	}
 	return out
 }
