--- a/internal/coordination/capacity.go
+++ b/internal/coordination/capacity.go
@@ -69,7 +69,7 @@
 	returnMsg   struct{ machines []int }
 	recordedMsg struct {
 		hires []string
-		drain int
+		drain int // noMachine: none
 		err   error
 	}
 	hireAnswer struct {
@@ -209,7 +209,7 @@
 
 func (c *capacity) listAll(ctx context.Context) ([]Listed, error) {
 	var out []Listed
-	after := 0
+	after := noMachine
 	for {
 		page, more, err := c.cloud.List(ctx, after, listPage)
 		if err != nil {
@@ -250,7 +250,7 @@
 	switch {
 	case len(v.wants) > 0 && now.Sub(c.upSince) >= c.settings.Tuning.UpWindow:
 		c.grow(v, now)
-	case v.spare != 0 && !v.draining && !c.healthySince.IsZero() && now.Sub(c.healthySince) >= c.settings.Tuning.DownWindow && now.After(c.coolTill):
+	case v.spare != noMachine && !v.draining && !c.healthySince.IsZero() && now.Sub(c.healthySince) >= c.settings.Tuning.DownWindow && now.After(c.coolTill):
 		c.shrink(v, now)
 	}
 }
@@ -277,7 +277,7 @@
 	}
 	c.upSince = now // what is still missing must hold for another window
 	c.coolTill = now.Add(c.settings.Tuning.Cooldown)
-	c.record(records, recordedMsg{hires: names})
+	c.record(records, recordedMsg{hires: names, drain: noMachine})
 }
 
 // hiresFor gathers the wanted machines into rentals, in the order of their
@@ -330,7 +330,7 @@
 			h.durable = true
 		}
 	}
-	if m.drain != 0 {
+	if m.drain != noMachine {
 		c.dispatch.post(drainMsg{m.drain, "spare"})
 	}
 }
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -18,7 +18,7 @@
 type fleetView struct {
 	wants    []offer // machines that would cover the pressure, in order
 	healthy  bool    // every machine's reports are fresh and nothing is unproved
-	spare    int     // a machine that could be returned; 0: none
+	spare    int     // a machine that could be returned, or noMachine
 	emptied  []int   // drained machines without tasks, to be returned
 	lost     []int   // failed, silent or never-up machines, to be returned
 	draining bool    // a drain is still open
@@ -37,7 +37,7 @@
 // fleetView reckons the pressure: the waiting tasks' requested room minus the
 // free room on ready and booting machines, by a trial packing.
 func (d *dispatcher) fleetView(now time.Time) fleetView {
-	v := fleetView{healthy: true, settled: d.listed}
+	v := fleetView{healthy: true, settled: d.listed, spare: noMachine}
 	p := &packing{dry: make(dryness)}
 	fresh := d.settings.fresh()
 	for _, m := range d.order {
--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -391,3 +391,23 @@
 		}
 	})
 }
+
+// The cloud numbers its machines from 0, which once stood for no machine: as long
+// as that one was the best to return, none was.
+func TestTheFirstMachineIsReturnedToo(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.submit(sweep("000001", 8))
+		w.eventually("the sweep is done", 3*time.Minute, func() bool { return w.poll("000001").State == StateDone })
+		w.eventually("all machines are given back", 2*time.Minute, func() bool {
+			for _, wk := range w.all() {
+				if !wk.dead {
+					return false
+				}
+			}
+			return true
+		})
+		if len(w.cloud.hires) == 0 || w.all()[0].id != 0 {
+			t.Fatal("there was no machine 0")
+		}
+	})
+}
--- a/internal/coordination/ports.go
+++ b/internal/coordination/ports.go
@@ -189,6 +189,8 @@
 	Catalogue(ctx context.Context) ([]storage.MachineType, error)
 	Hire(ctx context.Context, name string, h storage.HireRecord) ([]int, error)
 	Return(ctx context.Context, machines []int) error
+	// List reads a page of the machines after one of that number; with noMachine,
+	// from the first.
 	List(ctx context.Context, after int, limit int) (machines []Listed, more bool, err error)
 }
 
--- a/internal/coordination/spare.go
+++ b/internal/coordination/spare.go
@@ -9,6 +9,9 @@
 // look goes on where it stopped.
 const spareTries = 8
 
+// noMachine stands for none: the cloud numbers its machines from 0.
+const noMachine = -1
+
 // spare finds a machine without which all that waits, all that is to be kept
 // and what runs would still fit, trying first those that waste the most money.
 // The packing has just shown what fits with it.
@@ -46,7 +49,7 @@
 		}
 	}
 	d.spareFrom += spareTries
-	return 0
+	return noMachine
 }
 
 func (d *dispatcher) bookedShare(m *machine) float64 {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -548,8 +548,8 @@
 	}
 	var got []int
 	for range h.Count {
-		c.next++
 		id := c.next
+		c.next++
 		got = append(got, id)
 		boot := c.boot
 		if boot == 0 {
--- a/internal/transport/cloud.go
+++ b/internal/transport/cloud.go
@@ -94,7 +94,7 @@
 // List reads a page of the machine list.
 func (c *CloudClient) List(ctx context.Context, after int, limit int) ([]coordination.Listed, bool, error) {
 	q := url.Values{"Page": {strconv.Itoa(limit)}}
-	if after > 0 {
+	if after >= 0 {
 		q.Set("From", protocol.MachineName(after))
 	}
 	var l protocol.MachineList
