--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -411,3 +411,20 @@
 		}
 	})
 }
+
+// Saving and fetching elsewhere must not cost a task the deadline that it would
+// meet where it is; what is late anyway, or has time, may move.
+func TestAMoveMustNotCostADeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		for due, late := range map[float64]bool{40: false, 62: true, 200: false} {
+			s := sweep("000001", 1)
+			s.EstimateS, s.DeadlineS, s.CheckpointS, s.SaveS, s.ImageGB = 60, due, 10, 4, 5
+			j := newJob(s, time.Now())
+			a := &attempt{job: j, on: d.up(1, "cpu", "a", false), seen: true, started: time.Now()}
+			if got := d.lateByMove(a, time.Now()); got != late {
+				t.Errorf("due in %v s: late by a move %v", due, got)
+			}
+		}
+	})
+}
--- a/internal/coordination/spare.go
+++ b/internal/coordination/spare.go
@@ -43,7 +43,7 @@
 		d.spareFrom = 0
 	}
 	for _, c := range cs[d.spareFrom:min(len(cs), d.spareFrom+spareTries)] {
-		if d.canSpare(p, c.s) {
+		if d.canSpare(p, c.s, now) {
 			d.spareFrom = 0
 			return c.s.on.id
 		}
@@ -64,9 +64,9 @@
 // canSpare tries to move what runs in a slot, and what the packing has put
 // there, into the room that the packing has left elsewhere. Replicas must find
 // their images where they go.
-func (d *dispatcher) canSpare(p *packing, s *slot) bool {
+func (d *dispatcher) canSpare(p *packing, s *slot, now time.Time) bool {
 	ready := func(o *slot, _ *job) bool { return o != s && o.on != nil && !o.booting }
-	undo, ok := d.tryMove(s.on, p.slots, true, func(o *slot, j *job) bool {
+	undo, ok := d.tryMove(s.on, p.slots, true, now, func(o *slot, j *job) bool {
 		if !ready(o, j) {
 			return false
 		}
@@ -101,12 +101,15 @@
 // tryMove tries to pack a machine's services into the slots, and with saving
 // also what would be stopped because it can save its progress. The rest may
 // finish, or waits for room. undo gives the room back.
-func (d *dispatcher) tryMove(m *machine, slots []*slot, saving bool, suits func(*slot, *job) bool) (undo func(), ok bool) {
+func (d *dispatcher) tryMove(m *machine, slots []*slot, saving bool, now time.Time, suits func(*slot, *job) bool) (undo func(), ok bool) {
 	undo = func() {}
 	for _, a := range m.sortedAttempts() {
 		if !a.job.spec.Service && !(saving && a.job.spec.CheckpointS > 0) {
 			continue
 		}
+		if saving && d.lateByMove(a, now) {
+			return undo, false
+		}
 		zones := newZoneCheck(a.job)
 		zones.add(m.zone, -1)
 		s := d.fullest(slots, a.job, &zones, suits)
@@ -118,6 +121,26 @@
 	return undo, true
 }
 
+// moveMargin is how many times what a move costs a task must have left, for its
+// run time is but a guess.
+const moveMargin = 2
+
+// lateByMove tells whether saving a task and fetching its image elsewhere may
+// cost it a deadline that it would meet where it is.
+func (d *dispatcher) lateByMove(a *attempt, now time.Time) bool {
+	s := &a.job.spec
+	if s.Service || s.DeadlineS <= 0 || a.started.IsZero() {
+		return false
+	}
+	left := max(0, d.runTime(a.job)-now.Sub(a.started).Seconds())
+	slack := a.job.due().Sub(now).Seconds() - left
+	cost := s.SaveS
+	if a.on.typ != nil && a.on.typ.FetchGBPS > 0 {
+		cost += s.ImageGB / a.on.typ.FetchGBPS
+	}
+	return slack >= 0 && slack < moveMargin*cost
+}
+
 const (
 	// strangerLease is how much of a lease after a take-over a machine may
 	// stay unheard before it counts as lost.
@@ -154,7 +177,7 @@
 	slots := d.readySlots(now)
 	d.learnPerGPU(now)
 	for _, m := range silent {
-		undo, ok := d.tryMove(m, slots, false, lastResort)
+		undo, ok := d.tryMove(m, slots, false, now, lastResort)
 		if ok {
 			d.log.Info("unheard since the take-over", "machine", m.id, "attempts", len(m.attempts))
 			lost = append(lost, m.id)
