--- a/internal/coordination/pressure.go
+++ b/internal/coordination/pressure.go
@@ -13,7 +13,7 @@
 	// lateShare of the machines that waiting services count on is rented for
 	// once more, for some come late and some never; of many, luck evens out,
 	// and their square root is enough.
-	lateShare = 0.25
+	lateShare = 0.5
 )
 
 // demand is a group of alike tasks in a trial packing.
