--- a/internal/coordination/pressure.go
+++ b/internal/coordination/pressure.go
@@ -339,10 +339,6 @@
 					price = t.SpotPrice
 				}
 				cost := price / float64(min(fit, dm.n))
-				if s.Service && t.FetchGBPS > 0 && t.BootS > 0 {
-					// Where an image takes long to come, each start waits for it.
-					cost *= 1 + s.ImageGB/t.FetchGBPS/t.BootS
-				}
 				cost *= 1 + 0.02*float64(p.sizes[zone])/float64(1+len(d.machines))
 				if cost < bestCost {
 					best, bestCost = o, cost
