--- a/internal/coordination/spare.go
+++ b/internal/coordination/spare.go
@@ -91,7 +91,7 @@
 
 // quickFetch is how long a replica that is moved may fetch its image, in report
 // intervals.
-const quickFetch = 0.125
+const quickFetch = 0.5
 
 // fetch is how long the slot's machine takes to fetch a job's image, in seconds.
 func (s *slot) fetch(j *job) float64 {
