--- a/internal/storage/journal.go
+++ b/internal/storage/journal.go
@@ -30,6 +30,10 @@
 	// what the living records need, plus cleanSlack.
 	cleanFactor = 2
 	cleanSlack  = 24
+	// cleanBehind chunks too many are a load that a take-over feels; then each
+	// commit cleans at least cleanForced of them, though that delays the next.
+	cleanBehind = 4 * cleanSlack
+	cleanForced = 1
 	// retryPause is how long the journal waits after a refused request.
 	retryPause = 100 * time.Millisecond
 )
@@ -317,6 +321,9 @@
 	need := j.liveBytes/perChunk + 1
 	excess := len(j.chunks) - cleanFactor*need - cleanSlack
 	spare := int(j.limiter.Tokens()) / 2
+	if excess > cleanBehind {
+		spare = max(spare, cleanForced)
+	}
 	if excess <= 0 || spare <= 0 {
 		return chunks, 0
 	}
--- a/internal/storage/journal_test.go
+++ b/internal/storage/journal_test.go
@@ -177,3 +177,29 @@
 		}
 	})
 }
+
+// Commits that come as fast as the budget lets them leave no change to clean
+// with; the journal grew to two thousand chunks, and a take-over read them all.
+func TestAJournalUnderLoadStaysShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		svc, guard := lead(t)
+		_, write := open(ctx, t, svc, guard)
+		for i := range 1500 {
+			if err := write(map[string]any{fmt.Sprintf("j%d", i%300): i}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		chunks, _, _, err := svc.List(ctx, "log/", "", 1000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(chunks) > 150 {
+			t.Errorf("%d chunks for 300 records", len(chunks))
+		}
+		if got := reread(ctx, t, svc, guard); len(got) != 300 || got["j299"] != "1499" {
+			t.Errorf("%d records, the last is %s", len(got), got["j299"])
+		}
+	})
+}
