--- a/internal/coordination/spare.go
+++ b/internal/coordination/spare.go
@@ -1,7 +1,6 @@
 package coordination
 
 import (
-	"math"
 	"sort"
 	"time"
 )
@@ -64,7 +63,7 @@
 
 // canSpare tries to move what runs in a slot, and what the packing has put
 // there, into the room that the packing has left elsewhere. Replicas must find
-// their images where they go, or fetch them quickly.
+// their images where they go.
 func (d *dispatcher) canSpare(p *packing, s *slot, now time.Time) bool {
 	ready := func(o *slot, _ *job) bool { return o != s && o.on != nil && !o.booting }
 	undo, ok := d.tryMove(s.on, p.slots, true, now, func(o *slot, j *job) bool {
@@ -72,7 +71,7 @@
 			return false
 		}
 		_, cached := o.on.images[j.spec.Image]
-		return cached || !j.spec.Service || o.fetch(j) <= scale(d.settings.Report, quickFetch).Seconds()
+		return cached || !j.spec.Service
 	})
 	defer func() { undo() }()
 	if !ok {
@@ -89,18 +88,6 @@
 	return true
 }
 
-// quickFetch is how long a replica that is moved may fetch its image, in report
-// intervals.
-const quickFetch = 0.5
-
-// fetch is how long the slot's machine takes to fetch a job's image, in seconds.
-func (s *slot) fetch(j *job) float64 {
-	if s.typ.FetchGBPS <= 0 {
-		return math.Inf(1)
-	}
-	return j.spec.ImageGB / s.typ.FetchGBPS
-}
-
 // take uses room of the slot; the returned function gives it back, after undo.
 func (s *slot) take(j *job, undo func()) func() {
 	free := s.free
