--- a/internal/coordination/stories_test.go
+++ b/internal/coordination/stories_test.go
@@ -178,9 +178,11 @@
 		w.submit(service("000001", 1))
 		w.eventually("the service runs", 2*time.Minute, func() bool { return len(w.running("000001")) == 1 })
 		repeated := false
+		w.mu.Lock()
 		for _, n := range w.cloud.asked {
 			repeated = repeated || n > 1
 		}
+		w.mu.Unlock()
 		if !repeated {
 			t.Fatal("the hire wasn't repeated under its name")
 		}
