Reports reach the leader through the node of the worker's zone; leases are renewed on loan

Ruled out: elections (0.1 to 0.3 s to load), the frozen leader.

Each node takes the reports of its zone's workers and hands them on in batches by gob; the answers are the leader's. A leader whose direct orders go nowhere while other nodes hear workers hands its lead over.

--- a/cmd/sagevale/serve.go
+++ b/cmd/sagevale/serve.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return fmt.Errorf("peer_listen: %w", err)
 	}
-	peers := transport.NewPeers(s.Peers, log)
+	peers := transport.NewPeers(s.Node, s.Peers, log)
 	node := coordination.NewNode(s, coordination.Deps{
 		State:   transport.NewStateClient(s.StateAddr),
 		Cloud:   transport.NewCloudClient(s.CloudAddr),
@@ -44,7 +44,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return node.Run(ctx) })
 	g.Go(func() error { return transport.NewServer(node, log).Serve(ctx, users) })
-	g.Go(func() error { return transport.ServePeers(ctx, peerListener, node.Local, log) })
+	g.Go(func() error { return transport.ServePeers(ctx, peerListener, node, log) })
 	g.Go(func() error { peers.Run(ctx); return nil })
 	return g.Wait()
 }
--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -36,7 +36,7 @@
 	resigned bool // the lead has been given up
 	journal  *storage.Journal
 	capacity *capacity
-	resign   chan<- uint64
+	resign   chan<- resignation
 	log      *slog.Logger
 	rand     *rand.Rand
 
@@ -71,12 +71,16 @@
 	goneBefore map[int]bool // machines whose return the cloud has confirmed
 	perGPU     storage.Room // what is taken with an accelerator at the most
 	perGPUAt   time.Time
-	firstJob   time.Time  // when the first job ever came
-	ungreeted  []*machine // known at the take-over and not yet told our token
-	greeting   int        // workers being told now
-	spareFrom  int        // where the search for a machine to return goes on
-	roundAt    time.Time  // placement rests until then
-	viewAt     time.Time  // the next look at the fleet
+	firstJob   time.Time            // when the first job ever came
+	ungreeted  []*machine           // known at the take-over and not yet told our token
+	greeting   int                  // workers being told now
+	spareFrom  int                  // where the search for a machine to return goes on
+	lender     *lender              // what the peers may do while they can't reach us
+	solos      []solo               // what they may have done
+	unreached  map[int]bool         // machines that report but take no direct orders, since one last did
+	hears      func() time.Duration // since a worker last reported to this node
+	roundAt    time.Time            // placement rests until then
+	viewAt     time.Time            // the next look at the fleet
 }
 
 // Messages to the dispatcher.
@@ -86,9 +90,9 @@
 		req   UserRequest
 		reply chan Answer
 	}
-	beatMsg struct {
-		report *Report
-		reply  chan BeatAnswer
+	beatsMsg struct {
+		reports []*Report
+		reply   chan []BeatAnswer
 	}
 	directMsg struct {
 		machine int
@@ -112,7 +116,7 @@
 	}
 )
 
-func newDispatcher(s *Settings, deps Deps, role Role, journal *storage.Journal, resign chan<- uint64, log *slog.Logger) (*dispatcher, error) {
+func newDispatcher(s *Settings, deps Deps, role Role, journal *storage.Journal, resign chan<- resignation, log *slog.Logger) (*dispatcher, error) {
 	d := &dispatcher{
 		settings: s, deps: deps, term: role.Term, role: role, journal: journal, resign: resign, log: log,
 		rand:    rand.New(rand.NewPCG(deps.Rand.Uint64(), role.Term)),
@@ -122,6 +126,7 @@
 		books: storage.NewBooks(), classes: make(map[string]*class), hires: make(map[string]storage.HireRecord),
 		nextTry: role.Term * tryStride, refused: make(map[offer]time.Time),
 		dirty: make(map[string]func() any), goneBefore: make(map[int]bool), place: true,
+		lender: newLender(s), unreached: make(map[int]bool), hears: func() time.Duration { return 0 },
 	}
 	return d, d.load(journal.Records())
 }
@@ -158,23 +163,24 @@
 	}
 }
 
-// beat hands a worker's report to the dispatcher.
-func (d *dispatcher) beat(ctx context.Context, r *Report) BeatAnswer {
-	reply := make(chan BeatAnswer, 1)
+// beats hands workers' reports to the dispatcher; nil means that it doesn't
+// decide on them.
+func (d *dispatcher) beats(ctx context.Context, reports []*Report) []BeatAnswer {
+	reply := make(chan []BeatAnswer, 1)
 	select {
-	case d.mailbox <- beatMsg{r, reply}:
+	case d.mailbox <- beatsMsg{reports, reply}:
 	case <-d.closed:
-		return BeatAnswer{Busy: true}
+		return nil
 	default:
-		return BeatAnswer{Busy: true}
+		return nil
 	}
 	select {
 	case a := <-reply:
 		return a
 	case <-d.closed:
-		return BeatAnswer{Busy: true}
+		return nil
 	case <-ctx.Done():
-		return BeatAnswer{Busy: true}
+		return nil
 	}
 }
 
@@ -236,8 +242,12 @@
 		}
 	case userMsg:
 		d.handleUser(m)
-	case beatMsg:
-		m.reply <- d.handleBeat(m.report)
+	case beatsMsg:
+		answers := make([]BeatAnswer, 0, len(m.reports))
+		for _, r := range m.reports {
+			answers = append(answers, d.handleBeat(r))
+		}
+		m.reply <- answers
 	case directMsg:
 		d.handleDirect(m)
 	case committedMsg:
@@ -347,6 +357,8 @@
 	if d.stalled(now) || !d.certain(now) {
 		d.failWaiting(Unavailable("", "state service slow or out of reach"))
 	}
+	d.publishLending(now)
+	d.learnSolos()
 	d.expire(now)
 	d.renewToken(now)
 	d.place = true
--- /dev/null
+++ b/internal/coordination/handover.go
@@ -0,0 +1,50 @@
+package coordination
+
+import "time"
+
+// A leader that has lost its workers, but neither its peers nor the state
+// service, still gets their reports by way of the peers; its direct orders go
+// nowhere, so starts wait for reports. It hands its lead to a node that hears
+// workers.
+
+const (
+	// deafOrders is how many machines whose reports arrive must be out of reach
+	// of direct orders, with none reached in between, before the lead is handed
+	// over.
+	deafOrders = 8
+	// standBack is how long the node then leaves the lead to others, in grant
+	// lives.
+	standBack = 4
+)
+
+// reached notes whether a machine that reports could be reached directly.
+func (d *dispatcher) reached(m *machine, ok bool, now time.Time) {
+	switch {
+	case ok:
+		clear(d.unreached)
+	case m.lastBeat.IsZero() || now.Sub(m.lastBeat) > 2*d.settings.Report:
+	default:
+		d.unreached[m.id] = true
+		if len(d.unreached) >= min(deafOrders, max(1, len(d.order))) && d.hears() > d.settings.Report && d.othersHear() {
+			d.log.Info("handing over", "unreached", len(d.unreached))
+			clear(d.unreached)
+			d.giveUp("this node doesn't reach the workers", true)
+		}
+	}
+}
+
+// resignation ends a term; with standBack another node is to lead next.
+type resignation struct {
+	term      uint64
+	standBack bool
+}
+
+// othersHear tells whether a peer in reach hears workers itself.
+func (d *dispatcher) othersHear() bool {
+	for _, p := range d.settings.Peers {
+		if w, ok := d.deps.Peers.Told(p.Name); ok && d.deps.Peers.Unheard(p.Name) == 0 && w.Hears < d.settings.Report {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -51,9 +51,10 @@
 	settings *Settings
 	run      string // unlike any other process's
 	tell     func(Role)
-	resign   chan uint64 // terms to step down from
+	resign   chan resignation
 	peers    PeerLink
 	began    time.Time
+	back     time.Time    // the lead is left to others until then
 	heard    atomic.Int64 // when the state service last answered, after began
 	log      *slog.Logger
 }
@@ -95,6 +96,8 @@
 	for ctx.Err() == nil {
 		item, err := l.get(ctx, leadKey)
 		switch {
+		case errors.Is(err, storage.ErrNotFound) && time.Now().Before(l.back):
+			l.pause(ctx)
 		case errors.Is(err, storage.ErrNotFound):
 			if err := l.contend(ctx); err != nil {
 				l.log.Debug("no lead taken", "err", err)
@@ -238,8 +241,11 @@
 	for ctx.Err() == nil {
 		select {
 		case t := <-l.resign:
-			if t == term {
+			if t.term == term {
 				reason = "resigned"
+				if t.standBack {
+					l.back = time.Now().Add(standBack * life)
+				}
 				if err := l.revoke(ctx, lease); err != nil {
 					l.log.Debug("grant not ended", "err", err)
 				}
--- a/internal/coordination/leases.go
+++ b/internal/coordination/leases.go
@@ -22,9 +22,10 @@
 }
 
 // emptyBy is when a machine that stays silent has surely lost its lease. Until
-// it has heard our token, an earlier leader may have been renewing it.
+// it has heard our token, an earlier leader, or a peer with a loan of that one,
+// may have been renewing it.
 func (d *dispatcher) emptyBy(m *machine) time.Time {
-	bound := m.answered.Add(d.settings.leaseBound())
+	bound := d.aloneBound(m)
 	if !m.heard {
 		if b := d.began.Add(d.settings.strangerBound()); b.After(bound) {
 			return b
--- a/internal/coordination/mail.go
+++ b/internal/coordination/mail.go
@@ -145,6 +145,7 @@
 	run1     uint64 // this process's own mark on its batches
 	serial   uint64
 	limiter  *rate.Limiter
+	taken    moment // when the state service last took a batch
 }
 
 type posted struct {
@@ -186,11 +187,17 @@
 	return Unavailable(req.ID, "leader out of reach")
 }
 
-func (m *mailer) beat(ctx context.Context, report *Report) BeatAnswer {
-	if r := m.send(ctx, letter{Report: report}); r.Done && r.Beat != nil {
-		return *r.Beat
+// beats mails reports; nil means that nobody has decided on them.
+func (m *mailer) beats(ctx context.Context, reports []*Report) []BeatAnswer {
+	var out []BeatAnswer
+	for _, report := range reports {
+		r := m.send(ctx, letter{Report: report})
+		if !r.Done || r.Beat == nil {
+			return nil
+		}
+		out = append(out, *r.Beat)
 	}
-	return BeatAnswer{Busy: true}
+	return out
 }
 
 // run sends batch after batch, each once the one before it is over.
@@ -286,6 +293,7 @@
 	if err != nil {
 		return nil, err
 	}
+	m.taken.mark(time.Now())
 	prefix := answerPrefix + m.settings.Node + "/"
 	for {
 		changes, next, err := m.svc.Watch(ctx, prefix, rev, mailPatience)
@@ -363,7 +371,10 @@
 				a := p.desk.user(actx, *l.User)
 				r.User = &a
 			case l.Report != nil:
-				b := p.desk.beat(actx, l.Report)
+				b := BeatAnswer{Undecided: true}
+				if got := p.desk.beats(actx, []*Report{l.Report}); len(got) > 0 {
+					b = got[0]
+				}
 				r.Beat = &b
 			}
 			answers <- answered{i, r}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,7 @@
 	deps     Deps
 	lead     *leadership
 	mail     *mailer
+	courier  *courier
 	roles    chan Role
 	view     atomic.Pointer[view] // published by the node's own goroutine
 }
@@ -50,9 +52,10 @@
 	n.lead = &leadership{
 		svc: deps.State, settings: s, log: deps.Log,
 		run:    fmt.Sprintf("%016x", deps.Rand.Uint64()),
-		resign: make(chan uint64, 4), peers: deps.Peers, began: time.Now(),
+		resign: make(chan resignation, 4), peers: deps.Peers, began: time.Now(),
 	}
 	n.mail = newMailer(s, deps)
+	n.courier = newCourier(n)
 	n.view.Store(&view{})
 	return n
 }
@@ -69,6 +72,7 @@
 	g.Go(func() error { n.lead.Run(ctx); return nil })
 	g.Go(func() error { n.follow(ctx); return nil })
 	g.Go(func() error { n.mail.run(ctx); return nil })
+	g.Go(func() error { n.courier.run(ctx); return nil })
 	return g.Wait()
 }
 
@@ -140,6 +144,7 @@
 	}
 	c := newCapacity(n.settings, n.deps, role.Term, d, journal, log)
 	d.capacity = c
+	d.hears = func() time.Duration { return n.courier.heard.since(time.Since(n.lead.began)) }
 	log.Info("take-over", "jobs", len(d.jobs), "machines", len(d.machines), "attempts", d.books.Attempts(), "took", time.Since(started))
 	g, gctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return journal.Run(gctx) })
@@ -161,15 +166,17 @@
 // resign asks the leadership to end a term, unless it is ending anyway.
 func (n *Node) resign(term uint64) {
 	select {
-	case n.lead.resign <- term:
+	case n.lead.resign <- resignation{term: term}:
 	default:
 	}
 }
 
 // Able tells whether users should be sent here: not where a leader lives but is
 // out of reach, nor where this node neither leads for certain nor reaches any
-// other. While nobody leads all nodes that see each other are as good.
+// other. While nobody leads all nodes that see each other are as good. That the
+// load balancer asks is noted, for it tells that this node isn't cut off.
 func (n *Node) Able() bool {
+	n.courier.probed.mark(time.Now())
 	v := n.view.Load()
 	if v.role.Leading && time.Now().Before(v.role.Certain) {
 		return true
@@ -216,6 +223,13 @@
 	return a
 }
 
+// hearsState tells whether the state service has answered this node lately:
+// its leadership, or its mail while that leads to the leader.
+func (n *Node) hearsState() bool {
+	since := min(n.lead.state().SinceState, n.mail.taken.since(math.MaxInt64))
+	return since < mailPatience+n.settings.Tuning.LeaderLease
+}
+
 // useMail tells whether the leader lives, for its key outlasts its grant's
 // life, and yet can't be reached: then only the state service leads to it.
 func (n *Node) useMail(leader string) bool {
@@ -225,11 +239,7 @@
 // Local answers a request that another node forwarded.
 func (n *Node) Local(ctx context.Context, req UserRequest) Answer {
 	if req.Op == OpPing {
-		st := n.lead.state()
-		if r := n.view.Load().role; !r.Leading || time.Now().Before(r.Certain) {
-			st.Leader, st.Term = r.Leader, r.Term
-		}
-		return Answer{Peer: st}
+		return Answer{Peer: n.state(req.ID)}
 	}
 	if v := n.view.Load(); v.desk != nil {
 		return v.desk.user(ctx, req)
@@ -237,20 +247,29 @@
 	return Unavailable(req.ID, "not the leader")
 }
 
-// Beat answers a worker's report.
-func (n *Node) Beat(ctx context.Context, r *Report) BeatAnswer {
+// state is what this node tells a peer of itself.
+func (n *Node) state(peer string) PeerState {
 	v := n.view.Load()
-	switch {
-	case v.desk != nil:
-		return v.desk.beat(ctx, r)
-	case v.role.Leading:
-		return BeatAnswer{Busy: true}
+	st := n.lead.state()
+	if r := v.role; !r.Leading || time.Now().Before(r.Certain) {
+		st.Leader, st.Term = r.Leader, r.Term
 	}
-	leader, _ := n.leader(v)
-	if leader != "" && n.deps.Peers.Unheard(leader) > 0 {
-		// Naming a leader that is out of reach would cost the worker seconds
-		// of its lease.
-		return n.mail.beat(ctx, r)
+	st.Hears, st.Alone = n.courier.heard.since(st.Up), n.courier.alone.since(st.Up)
+	if v.desk != nil {
+		st.LendTerm = v.desk.term
+		st.Lends, st.Barred = v.desk.lender.lend(peer)
+	}
+	return st
+}
+
+// Beat answers a worker's report.
+func (n *Node) Beat(ctx context.Context, r *Report) BeatAnswer { return n.courier.beat(ctx, r) }
+
+// LocalBeats answers reports that another node hands on; nil means that this
+// node doesn't decide on them.
+func (n *Node) LocalBeats(ctx context.Context, reports []*Report) []BeatAnswer {
+	if v := n.view.Load(); v.desk != nil {
+		return v.desk.beats(ctx, reports)
 	}
-	return BeatAnswer{Leader: leader}
+	return nil
 }
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -122,6 +122,9 @@
 func (d *dispatcher) handleDirect(msg directMsg) {
 	now := time.Now()
 	m := d.machines[msg.machine]
+	if m != nil {
+		d.reached(m, msg.outcome == Executed || msg.outcome == Rejected, now)
+	}
 	if msg.greet {
 		d.greeting--
 		d.spreadToken()
--- a/internal/coordination/ports.go
+++ b/internal/coordination/ports.go
@@ -89,6 +89,9 @@
 	Orders   []Order
 	Leader   string // where Accepted is false: the node to report to, if known
 	Busy     bool   // neither accepted nor sent elsewhere: try the next node
+	// Undecided tells that no leader has decided on the report; the node that
+	// the worker reached may answer alone.
+	Undecided bool
 }
 
 // Code classifies the answer to a user.
@@ -133,6 +136,11 @@
 	SinceState time.Duration // since its leadership last heard the state service
 	Leader     string        // who leads, as it knows first-hand; "": nobody it knows of
 	Term       uint64
+	Hears      time.Duration // since a worker last reported to it; Up if none has
+	Alone      time.Duration // since it last renewed a lease alone; Up if it never has
+	Lends      time.Duration // if it leads: how long the asker may renew leases alone
+	LendTerm   uint64        // under that token
+	Barred     []int         // but not these machines'
 }
 
 // Outcome tells what became of a direct command.
@@ -209,13 +217,23 @@
 	OpSubmit UserOp = iota
 	OpPoll
 	OpCancel
-	OpPing // asks nothing: another node tests the link
+	OpPing // another node, ID, tests the link and asks for a loan
 )
 
-// PeerLink forwards users' requests to another node.
+// PeerWord is what a peer has told of itself, and when it was asked.
+type PeerWord struct {
+	PeerState
+	Sent, Got time.Time // by our clock: before and after what it tells of
+}
+
+// PeerLink forwards users' requests and workers' reports to another node.
 type PeerLink interface {
 	// Forward asks the named node; an error means that no answer came.
 	Forward(ctx context.Context, node string, req UserRequest) (Answer, error)
+	// Beats hands reports to the named node, which answers each.
+	Beats(ctx context.Context, node string, reports []*Report) ([]BeatAnswer, error)
+	// Told is the named node's latest word; ok is false if there is none.
+	Told(node string) (w PeerWord, ok bool)
 	// Unheard is for how long the named node has been out of reach; 0: it is
 	// in reach.
 	Unheard(node string) time.Duration
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -42,12 +42,16 @@
 	return BeatAnswer{Accepted: true, Token: d.term, Orders: d.ordersFor(m, r, now)}
 }
 
-func (d *dispatcher) stepDown(reason string) {
+func (d *dispatcher) stepDown(reason string) { d.giveUp(reason, false) }
+
+// giveUp gives up the lead. Nothing is lent from here on.
+func (d *dispatcher) giveUp(reason string, standBack bool) {
 	d.log.Info("stepping down", "reason", reason)
 	d.resigned = true
 	d.role.Certain, d.role.HoldOut = time.Time{}, time.Time{}
+	d.lender.now.Store(nil)
 	select {
-	case d.resign <- d.term:
+	case d.resign <- resignation{d.term, standBack}:
 	default:
 	}
 }
--- a/internal/protocol/workers.go
+++ b/internal/protocol/workers.go
@@ -74,6 +74,9 @@
 	"peers": coordination.CausePeers, "alone": coordination.CausePeers,
 }
 
+// leastNoticeS stands for a notice that has run out.
+const leastNoticeS = 0.001
+
 // ParseReport checks a worker's report. One that can't be understood in full
 // is refused in full: a task that we overlooked would seem to be gone.
 func ParseReport(body []byte) (*coordination.Report, error) {
@@ -93,6 +96,10 @@
 		Session: r.Session, Seq: r.Seq, Token: r.Token, Notice: r.NoticeS,
 		Tasks: make([]coordination.TaskReport, 0, len(r.Tasks)),
 	}
+	if r.NoticeS != nil {
+		// A gob between nodes would drop a zero.
+		*out.Notice = max(*r.NoticeS, leastNoticeS)
+	}
 	for _, t := range r.Tasks {
 		id, err := parseTask(t.Task)
 		if err != nil {
