--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -49,6 +49,7 @@
 	typeNames []string
 	jobs      map[string]*job
 	open      map[string]*job // open jobs, or final ones with attempts left
+	leaving   map[string]*job // cancelled jobs with attempts left
 	machines  map[int]*machine
 	order     []*machine // the same, by number
 	books     *storage.Books
@@ -122,7 +123,7 @@
 		rand:    rand.New(rand.NewPCG(deps.Rand.Uint64(), role.Term)),
 		mailbox: make(chan any, mailboxSize), closed: make(chan struct{}), ctx: context.Background(),
 		began: time.Now(), types: make(map[string]*storage.MachineType),
-		jobs: make(map[string]*job), open: make(map[string]*job), machines: make(map[int]*machine),
+		jobs: make(map[string]*job), open: make(map[string]*job), machines: make(map[int]*machine), leaving: make(map[string]*job),
 		books: storage.NewBooks(), classes: make(map[string]*class), hires: make(map[string]storage.HireRecord),
 		nextTry: role.Term * tryStride, refused: make(map[offer]time.Time),
 		dirty: make(map[string]func() any), goneBefore: make(map[int]bool), place: true,
@@ -209,6 +210,7 @@
 			d.tick()
 		case <-rest.C:
 		}
+		d.publishLending(time.Now())
 		if d.place {
 			d.paceRound(rest)
 		}
@@ -357,7 +359,6 @@
 	if d.stalled(now) || !d.certain(now) {
 		d.failWaiting(Unavailable("", "state service slow or out of reach"))
 	}
-	d.publishLending(now)
 	d.learnSolos()
 	d.expire(now)
 	d.renewToken(now)
--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,7 +21,7 @@
 	tb.Helper()
 	svc := storagetest.NewService()
 	tb.Cleanup(svc.Close)
-	client := &storagetest.Client{Service: svc, Cut: new(bool)}
+	client := &storagetest.Client{Service: svc, Cut: new(atomic.Bool)}
 	journal, err := storage.OpenJournal(context.Background(), client, s.State, storage.Guard{Key: leadKey})
 	if err != nil {
 		tb.Fatal(err)
@@ -250,17 +251,17 @@
 		w.eventually("the service runs", 2*time.Minute, func() bool { return len(w.running("000001")) == 40 })
 		var cut []*fakeWorker // that carry tasks; idle ones may be returned
 		for _, wk := range w.running("000001") {
-			if !wk.cut && len(cut) < 5 {
-				wk.cut = true
+			if !wk.cut.Load() && len(cut) < 5 {
+				wk.cut.Store(true)
 				cut = append(cut, wk)
 			}
 		}
 		time.Sleep(w.settings.Lease + 8*time.Second)
 		for _, wk := range cut {
-			if wk.dead {
+			if wk.dead.Load() {
 				t.Error("a machine was returned that is cut off")
 			}
-			wk.cut = false
+			wk.cut.Store(false)
 		}
 		w.eventually("the service runs again", time.Minute, func() bool { return len(w.running("000001")) == 40 })
 	})
@@ -271,7 +272,7 @@
 	inWorld(t, func(w *world) {
 		old := w.awaitLeader()
 		time.Sleep(5 * time.Second)
-		old.cutState = true
+		old.cutState.Store(true)
 		w.eventually("a successor leads", 30*time.Second, func() bool { n := w.leader(); return n != nil && n != old })
 		w.eventually("the old leader has stepped down", 3*time.Second, func() bool { return old.node.view.Load().desk == nil })
 		spec := sweep("000001", 1)
@@ -301,7 +302,7 @@
 			if !n.node.Able() {
 				t.Errorf("%s is unwell on a quiet day", n.name)
 			}
-			n.cutPeers = n != lead
+			n.cutPeers.Store(n != lead)
 		}
 		for _, n := range w.nodes {
 			if n.node.Able() != (n == lead) {
@@ -403,7 +404,7 @@
 		w.eventually("the sweep is done", 3*time.Minute, func() bool { return w.poll("000001").State == StateDone })
 		w.eventually("all machines are given back", 2*time.Minute, func() bool {
 			for _, wk := range w.all() {
-				if !wk.dead {
+				if !wk.dead.Load() {
 					return false
 				}
 			}
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -36,6 +36,7 @@
 			j.tasks, j.waiting = nil, 0
 		}
 		if j.phase != storage.Open {
+			d.leaving[j.spec.ID] = j
 			d.stopAll(j)
 		}
 	}
--- a/internal/coordination/loan.go
+++ b/internal/coordination/loan.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sync/atomic"
 	"time"
-
-	"sagevale/internal/storage"
 )
 
 // A leader lends the nodes that it hears the right to renew the leases of the
@@ -15,8 +13,8 @@
 // leader's own hold without the state service, and for the same reason: a user
 // may be told that a job is cancelled as soon as the leader, or a successor,
 // can't reach the workers; their tasks must be gone within cancel_s, so the last
-// renewal comes no later than 0.9 x (cancel_s - lease_s) after the last word
-// with the leader. Workers that are still to stop tasks of a cancelled job are
+// renewal comes no later than cancel_s - lease_s, less a margin, after the last
+// word with the leader. Workers that are still to stop tasks of a cancelled job are
 // left out, and a renewal carries no orders.
 //
 // The leader reckons with what it has lent: see aloneBound.
@@ -157,16 +155,19 @@
 	return time.Time{}
 }
 
+// lendPerReport is how old what the loans depend on may be, in report
+// intervals: a loan counts from there.
+const lendPerReport = 0.02
+
 // publishLending renews what the loans depend on.
 func (d *dispatcher) publishLending(now time.Time) {
-	if d.resigned {
-		d.lender.now.Store(nil)
+	if old := d.lender.now.Load(); d.resigned || old != nil && now.Sub(old.at) < scale(d.settings.Report, lendPerReport) {
 		return
 	}
 	p := &lending{at: now, holdOut: d.role.HoldOut, barred: make(map[string][]int)}
-	for _, j := range d.open {
-		if j.phase != storage.Cancelled {
-			continue
+	for id, j := range d.leaving {
+		if len(j.attempts) == 0 {
+			delete(d.leaving, id)
 		}
 		for _, a := range j.attempts {
 			if z := a.on.zone; !slices.Contains(p.barred[z], a.on.id) {
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -227,6 +227,9 @@
 
 // enter books an attempt.
 func (d *dispatcher) enter(a *attempt) {
+	if a.job.phase == storage.Cancelled {
+		d.leaving[a.job.spec.ID] = a.job
+	}
 	a.job.attempts[a.task] = a
 	a.job.setTask(a.task, taskActive)
 	a.on.attempts[a.id()] = a
--- a/internal/coordination/settings.go
+++ b/internal/coordination/settings.go
@@ -89,9 +89,10 @@
 
 	// driftBound covers the workers' and our own steady clocks.
 	driftBound = 1.002
-	// holdShare of cancel_s - lease_s is how long past its own grant a leader
-	// without the state service goes on renewing its workers' leases.
-	holdShare = 0.9
+	// holdMargin is what a hold leaves of cancel_s - lease_s, in report
+	// intervals, beside the drift of the clocks: a worker takes a moment to end
+	// its tasks.
+	holdMargin = 1.0 / 8
 	// freshIntervals of reports make a machine's state fresh (DESIGN: three).
 	freshIntervals = 3
 )
@@ -117,7 +118,7 @@
 // grant ends must see the tasks gone within cancel_s, even where the workers
 // hear only the old leader.
 func (s *Settings) hold() time.Duration {
-	return max(0, scale(s.Cancel-s.Lease, holdShare))
+	return max(0, s.Cancel-s.Lease-scale(s.Cancel, driftBound-1)-scale(s.Report, holdMargin))
 }
 
 // leaseBound is how long after an answered report a silent worker's tasks may
--- a/internal/coordination/stories_test.go
+++ b/internal/coordination/stories_test.go
@@ -68,9 +68,10 @@
 		w.eventually("the sweep is done", 2*time.Minute, func() bool { return w.poll("000002").State == StateDone })
 		old := w.awaitLeader()
 		oldTerm := old.node.view.Load().role.Term
-		old.cutState, old.cutPeers = true, true
+		old.cutState.Store(true)
+		old.cutPeers.Store(true)
 		for _, wk := range w.all() {
-			wk.only = old
+			wk.only.Store(old)
 		}
 		cutoff := func(op UserOp, id string) Answer {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -103,19 +104,14 @@
 		w.submit(service("000001", 1))
 		w.eventually("a machine is up", 2*time.Minute, func() bool { return len(w.running("000001")) == 1 })
 		for _, wk := range w.all() {
-			wk.hang = true
+			wk.hang.Store(true)
 		}
 		w.submit(service("000002", 2))
 		time.Sleep(200 * time.Millisecond)
 		w.cancel("000002")
 		time.Sleep(2 * w.settings.Cancel)
 		for _, wk := range w.all() {
-			if len(wk.late) == 0 {
-				continue
-			}
-			for _, l := range wk.late {
-				wk.direct(l.token, l.session, l.orders)
-			}
+			wk.catchUp()
 		}
 		if n := len(w.running("000002")); n != 0 {
 			t.Fatalf("%d cancelled tasks run", n)
@@ -155,12 +151,12 @@
 		w.submit(service("000001", 2))
 		w.eventually("the service runs", 2*time.Minute, func() bool { return len(w.running("000001")) == 2 })
 		for _, wk := range w.all() {
-			wk.cut = true
+			wk.cut.Store(true)
 		}
 		w.cancel("000001")
 		w.eventually("the tasks are gone", w.settings.Cancel, func() bool { return len(w.running("000001")) == 0 })
 		for _, wk := range w.all() {
-			wk.cut = false
+			wk.cut.Store(false)
 		}
 		time.Sleep(time.Minute)
 		if len(w.running("000001")) != 0 {
@@ -174,7 +170,7 @@
 
 func TestAnUnansweredHireRentsOnce(t *testing.T) {
 	inWorld(t, func(w *world) {
-		w.cloud.loseOne = true
+		w.locked(func() { w.cloud.loseOne = true })
 		w.submit(service("000001", 1))
 		w.eventually("the service runs", 2*time.Minute, func() bool { return len(w.running("000001")) == 1 })
 		repeated := false
@@ -200,7 +196,7 @@
 		grown := len(w.all())
 		w.eventually("machines are returned", 5*time.Minute, func() bool {
 			for _, wk := range w.all() {
-				if !wk.dead {
+				if !wk.dead.Load() {
 					continue
 				}
 				for k, task := range wk.tasks {
@@ -228,14 +224,14 @@
 		w.submit(s)
 		w.eventually("the service runs", 3*time.Minute, func() bool { return len(w.running("000001")) == 2 })
 		for _, wk := range w.running("000001") {
-			wk.cut = true
+			wk.cut.Store(true)
 		}
 		o := sweep("000002", 2)
 		o.Team, o.Room.GPUs = "small", 1
 		w.submit(o)
 		time.Sleep(30 * time.Second)
 		for _, wk := range w.all() {
-			wk.cut = false
+			wk.cut.Store(false)
 		}
 		w.eventually("the service runs again", 3*time.Minute, func() bool { return len(w.running("000001")) == 2 })
 		w.cancel("000001")
@@ -264,7 +260,7 @@
 		lead := w.awaitLeader()
 		time.Sleep(10 * time.Second)
 		cut := time.Now()
-		lead.cutState = true
+		lead.cutState.Store(true)
 		w.state.Outage(true)
 		time.Sleep(10 * time.Second)
 		if !lead.node.lead.leaderless(context.Background(), cut) {
@@ -291,7 +287,7 @@
 		for _, wk := range w.running("000001") {
 			deaf = wk
 		}
-		deaf.deaf = true
+		deaf.deaf.Store(true)
 		w.eventually("its tasks run elsewhere", 4*time.Minute, func() bool {
 			on := w.running("000001")
 			for _, wk := range on {
@@ -330,7 +326,7 @@
 		w.submit(sweep("000001", 4))
 		w.eventually("machines are up", 2*time.Minute, func() bool { return len(w.running("000001")) == 4 })
 		for _, wk := range w.all() {
-			wk.sick = true // now every task fails, as a mistaken job's would
+			wk.sick.Store(true) // now every task fails, as a mistaken job's would
 		}
 		time.Sleep(40 * time.Second)
 		before := w.startsSoFar()
@@ -339,7 +335,7 @@
 			t.Errorf("%d starts in five minutes", n)
 		}
 		for _, wk := range w.all() {
-			wk.sick = false
+			wk.sick.Store(false)
 		}
 		w.eventually("the job is done", 5*time.Minute, func() bool { return w.poll("000001").State == StateDone })
 	})
@@ -354,19 +350,19 @@
 		notice := 10.0
 		var taken []*fakeWorker
 		for _, wk := range w.running("000001") {
-			wk.notice = &notice
+			w.locked(func() { wk.notice = &notice })
 			taken = append(taken, wk)
 		}
 		time.Sleep(10 * time.Second)
 		for _, wk := range taken {
-			if len(wk.tasks) > 0 && !wk.dead {
+			if len(wk.tasks) > 0 && !wk.dead.Load() {
 				for k, task := range wk.tasks {
 					if task.state != Ended {
 						t.Errorf("task %v is still on a machine that is taken", k.ID)
 					}
 				}
 			}
-			wk.dead = true
+			wk.dead.Store(true)
 		}
 		w.eventually("the sweep is done", 5*time.Minute, func() bool { return w.poll("000001").State == StateDone })
 	})
@@ -383,7 +379,7 @@
 			}
 		}
 		time.Sleep(5 * time.Second)
-		follower.cutPeers = true
+		follower.cutPeers.Store(true)
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
 		spec := service("000001", 1)
@@ -400,14 +396,14 @@
 
 func TestRefusedHiresGoElsewhere(t *testing.T) {
 	inWorld(t, func(w *world) {
-		w.cloud.full = func(h storage.HireRecord) bool { return h.Zone == "a" || h.Type == "cpu" }
+		w.locked(func() { w.cloud.full = func(h storage.HireRecord) bool { return h.Zone == "a" || h.Type == "cpu" } })
 		w.submit(service("000001", 1))
 		w.eventually("the service runs", 3*time.Minute, func() bool { return len(w.running("000001")) == 1 })
 		s := service("000002", 1)
 		s.Types, s.Zone = []string{"cpu"}, "a"
 		w.submit(s)
 		time.Sleep(time.Minute)
-		w.cloud.full = nil
+		w.locked(func() { w.cloud.full = nil })
 		w.eventually("it runs once there is room", 3*time.Minute, func() bool { return len(w.running("000002")) == 1 })
 	})
 }
@@ -481,7 +477,7 @@
 		}
 		w.eventually("all machines are given back", 90*time.Second, func() bool {
 			for _, wk := range w.all() {
-				if !wk.dead {
+				if !wk.dead.Load() {
 					return false
 				}
 			}
@@ -501,14 +497,16 @@
 		for _, wk := range w.running("000001") {
 			on = wk
 		}
-		on.mute = true
-		time.Sleep(time.Until(on.leased.Add(w.settings.Lease + 50*time.Millisecond)))
+		on.mute.Store(true)
+		var leased time.Time
+		w.locked(func() { leased = on.leased })
+		time.Sleep(time.Until(leased.Add(w.settings.Lease + 50*time.Millisecond)))
 		w.cancel("000001") // the stop tells of the new session
 		for i := range 3 {
 			w.submit(service(fmt.Sprintf("%06d", 10+i), 1))
 		}
 		time.Sleep(w.settings.Lease - 2*time.Second) // others have booted meanwhile
-		on.mute = false
+		on.mute.Store(false)
 		time.Sleep(10 * time.Second)
 	})
 }
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -115,6 +115,7 @@
 		d.arrival(j)
 		d.markJob(j)
 		d.place = true
+		d.log.Debug("accept", "job", spec.ID, "class", spec.Class, "tasks", spec.Tasks, "estimate", spec.EstimateS, "due", spec.DeadlineS, "team", spec.Team)
 	}
 	d.whenDurable(j.spec.ID, m.reply, func() Answer {
 		j.known = true
@@ -191,6 +192,7 @@
 		return
 	case j.phase == storage.Open:
 		j.phase = storage.Cancelled
+		d.leaving[j.spec.ID] = j
 		d.leave(j, now)
 		d.log.Debug("cancel", "job", j.spec.ID, "attempts", len(j.attempts))
 		d.markJob(j)
@@ -214,6 +216,7 @@
 	}
 	j.phase = storage.Done
 	d.markJob(j)
+	d.log.Debug("done", "job", j.spec.ID, "class", j.spec.Class, "tasks", j.spec.Tasks, "after", time.Since(j.submitted), "due", j.spec.DeadlineS)
 	d.onCommit(func(err error) {
 		if err == nil {
 			j.settled = true
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,17 +30,21 @@
 	specs    map[string]storage.Spec
 	cancelAt map[string]time.Time // when a user was told so
 	starts   int
-	over     bool // machines that boot now stay away
+	apart    atomic.Pointer[string] // a zone that is cut off from everything
+	over     atomic.Bool            // machines that boot now stay away
 	log      *slog.Logger
 }
 
 type fakeNode struct {
 	w        *world
 	name     string
-	node     *Node
+	zone     string
+	node     *Node                // its latest process, for the story
+	live     atomic.Pointer[Node] // the same; nil once it has ended
 	end      context.CancelFunc
-	cutState bool
-	cutPeers bool
+	cutState atomic.Bool
+	cutPeers atomic.Bool
+	cutWork  atomic.Bool         // it doesn't reach the workers, nor they it
 	words    map[string]PeerWord // what the others told last
 }
 
@@ -66,8 +71,8 @@
 		w.settings.Tuning = w.settings.DefaultTuning()
 		w.state = storagetest.NewService()
 		w.cloud = &fakeCloud{w: w, hires: make(map[string][]int)}
-		for i := range 3 {
-			w.nodes = append(w.nodes, &fakeNode{w: w, name: fmt.Sprintf("n%d", i)})
+		for i, zone := range []string{"a", "b", "a"} {
+			w.nodes = append(w.nodes, &fakeNode{w: w, name: fmt.Sprintf("n%d", i), zone: zone})
 		}
 		for _, n := range w.nodes {
 			n.start()
@@ -77,10 +82,10 @@
 				n.kill()
 			}
 			w.mu.Lock()
-			w.over = true
+			w.over.Store(true)
 			w.mu.Unlock()
 			for _, wk := range w.all() {
-				wk.dead = true
+				wk.dead.Store(true)
 			}
 			w.state.Close()
 			time.Sleep(time.Minute)
@@ -91,10 +96,10 @@
 
 func (n *fakeNode) start() {
 	s := n.w.settings
-	s.Node, s.Zone = n.name, "a"
+	s.Node, s.Zone = n.name, n.zone
 	for _, o := range n.w.nodes {
 		if o != n {
-			s.Peers = append(s.Peers, Peer{Name: o.name, Zone: "a"})
+			s.Peers = append(s.Peers, Peer{Name: o.name, Zone: o.zone})
 		}
 	}
 	n.node = NewNode(&s, Deps{
@@ -103,6 +108,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.end = cancel
+	n.live.Store(n.node)
 	go n.ping(ctx)
 	go func() {
 		if err := n.node.Run(ctx); err != nil {
@@ -113,6 +119,7 @@
 
 func (n *fakeNode) kill() {
 	if n.end != nil {
+		n.live.Store(nil)
 		n.end()
 		n.end = nil
 	}
@@ -123,8 +130,8 @@
 // Forward is the peer link.
 func (n *fakeNode) Forward(ctx context.Context, name string, req UserRequest) (Answer, error) {
 	for _, o := range n.w.nodes {
-		if o.name == name && o.end != nil && !o.cutPeers && !n.cutPeers {
-			return o.node.Local(ctx, req), nil
+		if live := o.live.Load(); o.name == name && live != nil && !o.cutPeers.Load() && !n.cutPeers.Load() {
+			return live.Local(ctx, req), nil
 		}
 	}
 	return Answer{}, fmt.Errorf("no way to %s", name)
@@ -133,8 +140,8 @@
 // Beats is the peer link for reports.
 func (n *fakeNode) Beats(ctx context.Context, name string, reports []*Report) ([]BeatAnswer, error) {
 	for _, o := range n.w.nodes {
-		if o.name == name && o.end != nil && !o.cutPeers && !n.cutPeers {
-			if answers := o.node.LocalBeats(ctx, reports); answers != nil {
+		if live := o.live.Load(); o.name == name && live != nil && !o.cutPeers.Load() && !n.cutPeers.Load() {
+			if answers := live.LocalBeats(ctx, reports); answers != nil {
 				return answers, nil
 			}
 		}
@@ -159,7 +166,7 @@
 				n.w.mu.Unlock()
 			}
 		}
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(250 * time.Millisecond)
 	}
 }
 
@@ -174,7 +181,7 @@
 // Known is the latest leader that the other nodes tell of.
 func (n *fakeNode) Known() (leader string, term uint64) {
 	for _, o := range n.w.nodes {
-		if w, ok := n.Told(o.name); ok && o.end != nil && !o.cutPeers && !n.cutPeers && w.Term > term {
+		if w, ok := n.Told(o.name); ok && o.live.Load() != nil && !o.cutPeers.Load() && !n.cutPeers.Load() && w.Term > term {
 			leader, term = w.Leader, w.Term
 		}
 	}
@@ -183,7 +190,7 @@
 
 // Unheard is the peer link's measure of silence.
 func (n *fakeNode) Unheard(string) time.Duration {
-	if n.cutPeers {
+	if n.cutPeers.Load() {
 		return time.Hour
 	}
 	return 0
@@ -254,6 +261,29 @@
 	return out
 }
 
+// locked runs f under the world's lock.
+func (w *world) locked(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+}
+
+// cutZone cuts a zone off from everything, or with "" ends that.
+func (w *world) cutZone(zone string) {
+	w.apart.Store(&zone)
+	for _, n := range w.nodes {
+		n.cutState.Store(n.zone == zone)
+		n.cutPeers.Store(n.zone == zone)
+	}
+}
+
+// reaches tells whether the network leads from a worker to a node and back.
+func (n *fakeNode) reaches(wk *fakeWorker) bool {
+	apart := n.w.apart.Load()
+	return !n.cutWork.Load() && (wk.only.Load() == nil || wk.only.Load() == n) &&
+		(apart == nil || n.zone == wk.zone || n.zone != *apart && wk.zone != *apart)
+}
+
 func (w *world) startsSoFar() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -310,7 +340,7 @@
 	for _, wk := range w.workers {
 		wk.settle()
 		for k, t := range wk.tasks {
-			if k.ID.Job == id && !wk.dead && t.state != Ended {
+			if k.ID.Job == id && !wk.dead.Load() && t.state != Ended {
 				out[k.ID] = wk
 			}
 		}
@@ -325,13 +355,13 @@
 	kind    string
 	zone    string
 	spot    bool
-	dead    bool
-	cut     bool      // nothing passes in either direction
-	only    *fakeNode // nothing passes to or from other nodes
-	deaf    bool      // its reports pass, answers and orders don't
-	mute    bool      // orders pass, its reports don't
-	hang    bool      // orders reach it only later: see late
-	sick    bool      // every task fails
+	dead    atomic.Bool
+	cut     atomic.Bool              // nothing passes in either direction
+	only    atomic.Pointer[fakeNode] // nothing passes to or from other nodes
+	deaf    atomic.Bool              // its reports pass, answers and orders don't
+	mute    atomic.Bool              // orders pass, its reports don't
+	hang    atomic.Bool              // orders reach it only later: see late
+	sick    atomic.Bool              // every task fails
 	notice  *float64
 	session uint64
 	seq     uint64
@@ -361,7 +391,7 @@
 func (w *world) addWorker(id int, kind, zone string, spot bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.over {
+	if w.over.Load() {
 		return
 	}
 	wk := &fakeWorker{w: w, id: id, kind: kind, zone: zone, spot: spot, session: 1, leased: time.Now(), tasks: make(map[workerKey]*workerTask)}
@@ -407,7 +437,7 @@
 	for _, t := range wk.tasks {
 		if t.state == Running && !t.ends.IsZero() && now.After(t.ends) {
 			t.state, t.cause = Ended, CauseDone
-			if wk.sick {
+			if wk.sick.Load() {
 				t.cause = CauseError
 			}
 		}
@@ -415,40 +445,49 @@
 }
 
 func (wk *fakeWorker) run() {
-	for !wk.dead {
-		if !wk.cut && !wk.mute {
-			wk.beat()
+	for !wk.dead.Load() {
+		pause := wk.w.settings.Report
+		if !wk.cut.Load() && !wk.mute.Load() {
+			pause = wk.beat()
 		}
-		time.Sleep(wk.w.settings.Report)
+		time.Sleep(pause)
 	}
 }
 
-func (wk *fakeWorker) beat() {
+// beat reports and returns when to report again.
+func (wk *fakeWorker) beat() time.Duration {
 	n := wk.w.nodes[wk.node%len(wk.w.nodes)]
 	r := wk.report()
 	sent := time.Now()
-	if n.end == nil || wk.only != nil && wk.only != n {
+	live := n.live.Load()
+	if live == nil || !n.reaches(wk) {
 		wk.node++
-		return
+		if live == nil {
+			return workerPause // refused
+		}
+		return workerPatience + workerPause
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
-	a := n.node.Beat(ctx, r)
+	ctx, cancel := context.WithTimeout(context.Background(), workerPatience)
+	a := live.Beat(ctx, r)
 	cancel()
 	wk.w.mu.Lock()
 	defer wk.w.mu.Unlock()
 	switch {
-	case wk.deaf || wk.cut || wk.dead:
+	case wk.deaf.Load() || wk.cut.Load() || wk.dead.Load() || !n.reaches(wk):
 	case !a.Accepted:
-		wk.node++
 		for i, o := range wk.w.nodes {
-			if o.name == a.Leader {
+			if o.name == a.Leader && o != n {
 				wk.node = i
+				return 0
 			}
 		}
+		wk.node++
+		return workerPause
 	case a.Token >= wk.token && r.Session == wk.session:
 		wk.token, wk.leased = a.Token, sent
 		wk.obey(a.Orders)
 	}
+	return wk.w.settings.Report
 }
 
 func (wk *fakeWorker) obey(orders []Order) {
@@ -494,7 +533,7 @@
 	for _, other := range w.workers {
 		other.settle()
 		for o, t := range other.tasks {
-			if other.dead || t.state == Ended {
+			if other.dead.Load() || t.state == Ended {
 				continue
 			}
 			if o.ID == k.ID {
@@ -533,8 +572,8 @@
 	}
 	n.w.mu.Lock()
 	wk := n.w.workers[id]
-	lost := wk == nil || wk.dead || wk.cut || wk.deaf || wk.only != nil && wk.only != n
-	if !lost && wk.hang {
+	lost := wk == nil || wk.dead.Load() || wk.cut.Load() || wk.deaf.Load() || !n.reaches(wk)
+	if !lost && wk.hang.Load() {
 		wk.late = append(wk.late, lateOrders{token, session, orders})
 	}
 	n.w.mu.Unlock()
@@ -542,13 +581,22 @@
 	case lost:
 		<-ctx.Done()
 		return NotSent, nil
-	case wk.hang:
+	case wk.hang.Load():
 		<-ctx.Done()
 		return Unresolved, nil
 	}
 	return wk.direct(token, session, orders)
 }
 
+// catchUp executes the orders that a hang has held back.
+func (wk *fakeWorker) catchUp() {
+	var late []lateOrders
+	wk.w.locked(func() { late = wk.late })
+	for _, l := range late {
+		wk.direct(l.token, l.session, l.orders)
+	}
+}
+
 func (wk *fakeWorker) direct(token, session uint64, orders []Order) (Outcome, *Report) {
 	wk.w.mu.Lock()
 	defer wk.w.mu.Unlock()
@@ -611,7 +659,7 @@
 	defer c.w.mu.Unlock()
 	for _, id := range machines {
 		if wk := c.w.workers[id]; wk != nil {
-			wk.dead = true
+			wk.dead.Store(true)
 		}
 	}
 	return nil
@@ -622,7 +670,7 @@
 	defer c.w.mu.Unlock()
 	var out []Listed
 	for id, wk := range c.w.workers {
-		if id > after && !wk.dead {
+		if id > after && !wk.dead.Load() {
 			out = append(out, Listed{Machine: id, Addr: fmt.Sprint(id), Type: wk.kind, Zone: wk.zone, Spot: wk.spot, State: Up})
 		}
 	}
--- a/internal/storage/storagetest/service.go
+++ b/internal/storage/storagetest/service.go
@@ -9,6 +9,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sagevale/internal/storage"
@@ -145,7 +146,7 @@
 // Client is one node's way to the store; Cut makes it alone be refused.
 type Client struct {
 	*Service
-	Cut *bool
+	Cut *atomic.Bool
 }
 
 var _ storage.StateService = (*Client)(nil)
@@ -159,7 +160,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.out.IsZero() || c.Cut != nil && *c.Cut {
+	if !c.out.IsZero() || c.Cut != nil && c.Cut.Load() {
 		return storage.ErrRefused
 	}
 	c.expire()
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -36,8 +36,8 @@
 	peerQueue = 256
 	// pingPause is how often a link is tested, and pingMissed how long one
 	// that hears nothing counts as in reach.
-	pingPause  = 500 * time.Millisecond
-	pingMissed = 3 * pingPause
+	pingPause  = 250 * time.Millisecond
+	pingMissed = 6 * pingPause
 )
 
 var errPeer = errors.New("peer out of reach")
@@ -132,7 +132,7 @@
 	heard, ok := l.heard.Load().(time.Time)
 	if !ok {
 		// Never heard, maybe because a cut is older than this process.
-		if d := time.Since(l.made); d > pingPause {
+		if d := time.Since(l.made); d > 2*pingPause {
 			return d
 		}
 		return 0
@@ -170,7 +170,7 @@
 
 // link is the actor of one peer's connection.
 type link struct {
-	self string // this node
+	self   string // this node
 	addr   string
 	made   time.Time
 	calls  chan call
