A start that a new leader ordered again isn't proved absent by an older answer

Ruled out: late direct starts, loans.

In the same sources, pace of the fleet: growth rents what boots longest first, four rentals a step; spare machines are found several a look and drained one after the other, each with its conditional write, returns go in full deletions; an idle machine is kept for a quarter of its boot.

--- a/internal/coordination/capacity.go
+++ b/internal/coordination/capacity.go
@@ -1,10 +1,12 @@
 package coordination
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -19,8 +21,9 @@
 	listsPerLag = 2
 	// catalogueLeases is how often the catalogue is read again.
 	catalogueLeases = 5
-	// returnBatch is how many machines one deletion names, under the cloud's 100.
-	returnBatch = 50
+	// returnBatch is how many machines one deletion names at the most, the
+	// cloud's limit.
+	returnBatch = 100
 	// hireMost is how many machines one rental names at the most, the cloud's limit.
 	hireMost = 50
 	// listPage is the cloud's largest page.
@@ -49,7 +52,12 @@
 	healthySince time.Time
 	coolTill     time.Time
 	frozenTill   time.Time
-	returning    map[int]bool // asked of the cloud, not yet answered
+	spares       []spare // to be drained one after the other, as of the last look
+	drained      bool    // the last drain is over
+	drains       int     // how many were asked for
+	size         int     // of the fleet, as of the last look, less what was drained since
+	toReturn     []int   // to be asked of the cloud
+	returning    bool    // a deletion is on its way
 	listing      bool
 	lastList     time.Time
 	pricing      bool
@@ -69,7 +77,7 @@
 	returnMsg   struct{ machines []int }
 	recordedMsg struct {
 		hires []string
-		drain int // noMachine: none
+		drain *spare
 		err   error
 	}
 	hireAnswer struct {
@@ -77,6 +85,7 @@
 		machines []int
 		err      error
 	}
+	drainedMsg   struct{} // the last drain asked for is over
 	returnAnswer struct {
 		machines []int
 		err      error
@@ -97,7 +106,7 @@
 		mailbox: make(chan any, 256),
 		limiter: rate.NewLimiter(rate.Limit(s.CloudRPS*cloudShare), max(1, int(s.CloudRPS*cloudShare))),
 		began:   time.Now(), desired: d.desired,
-		hires: make(map[string]*hire), returning: make(map[int]bool),
+		hires: make(map[string]*hire), drained: true,
 	}
 	for name, h := range d.hires {
 		c.hires[name] = &hire{HireRecord: h, durable: true}
@@ -117,6 +126,8 @@
 	c.ctx = ctx
 	tick := time.NewTicker(scale(c.settings.Report, tickPerReport))
 	defer tick.Stop()
+	cool := time.NewTimer(0) // ends the pause after a drain
+	defer cool.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -124,9 +135,14 @@
 		case m := <-c.mailbox:
 			c.handle(m)
 		case <-tick.C:
+		case <-cool.C:
+		}
+		now := time.Now()
+		c.poll(now)
+		c.askHires(now)
+		if c.shrink(now); len(c.spares) > 0 && now.Before(c.coolTill) {
+			cool.Reset(c.coolTill.Sub(now))
 		}
-		c.poll(time.Now())
-		c.askHires(time.Now())
 	}
 }
 
@@ -141,15 +157,16 @@
 		c.recorded(m, now)
 	case hireAnswer:
 		c.hired(m, now)
+	case drainedMsg:
+		c.drained = true
 	case returnAnswer:
-		for _, id := range m.machines {
-			delete(c.returning, id)
-		}
+		c.returning = false
 		if m.err != nil {
 			c.trouble("return", m.err, now)
 			return
 		}
 		c.dispatch.post(returnedMsg{m.machines})
+		c.giveBack(nil)
 	case listAnswer:
 		c.listing = false
 		if m.err != nil {
@@ -244,14 +261,16 @@
 	} else if c.healthySince.IsZero() {
 		c.healthySince = now
 	}
-	if frozen || c.recording || len(c.hires) > 0 {
-		return
+	c.spares, c.size = nil, v.size
+	if v.drains == c.drains { // an older look doesn't know of the last drain
+		c.drained = !v.draining
 	}
 	switch {
+	case frozen || c.recording || len(c.hires) > 0:
 	case len(v.wants) > 0 && now.Sub(c.upSince) >= c.settings.Tuning.UpWindow:
 		c.grow(v, now)
-	case v.spare != noMachine && !v.draining && !c.healthySince.IsZero() && now.Sub(c.healthySince) >= c.settings.Tuning.DownWindow && now.After(c.coolTill):
-		c.shrink(v, now)
+	case !v.draining && !c.healthySince.IsZero() && now.Sub(c.healthySince) >= c.settings.Tuning.DownWindow:
+		c.spares = v.spares
 	}
 }
 
@@ -259,6 +278,8 @@
 // conditional write, and asks the cloud after that.
 func (c *capacity) grow(v fleetView, now time.Time) {
 	n := min(len(v.wants), c.settings.Tuning.growBound(v.size))
+	// What boots longest is needed first.
+	slices.SortStableFunc(v.wants, func(a, b offer) int { return cmp.Compare(v.boots[b.kind], v.boots[a.kind]) })
 	c.desired = v.size + n
 	var names []string
 	records := []storage.Record{c.fleetRecord()}
@@ -277,7 +298,7 @@
 	}
 	c.upSince = now // what is still missing must hold for another window
 	c.coolTill = now.Add(c.settings.Tuning.Cooldown)
-	c.record(records, recordedMsg{hires: names, drain: noMachine})
+	c.record(records, recordedMsg{hires: names})
 }
 
 // hiresFor gathers the wanted machines into rentals, in the order of their
@@ -297,11 +318,20 @@
 	return out
 }
 
-func (c *capacity) shrink(v fleetView, now time.Time) {
-	c.desired = v.size - 1
-	c.coolTill = now.Add(c.settings.Tuning.cooldown(v.size))
-	c.log.Info("shrink", "machine", v.spare, "desired", c.desired)
-	c.record([]storage.Record{c.fleetRecord()}, recordedMsg{drain: v.spare})
+// shrink has the next spare machine drained, once the one before it is. Each
+// step is one machine and one conditional write of size and term.
+func (c *capacity) shrink(now time.Time) {
+	if len(c.spares) == 0 || !c.drained || c.recording || now.Before(c.coolTill) {
+		return
+	}
+	next := c.spares[0]
+	c.spares = c.spares[1:]
+	c.drained = false
+	c.coolTill = now.Add(c.settings.Tuning.cooldown(c.size))
+	c.size--
+	c.desired = c.size
+	c.log.Info("shrink", "machine", next.machine, "desired", c.desired)
+	c.record([]storage.Record{c.fleetRecord()}, recordedMsg{drain: &next})
 }
 
 func (c *capacity) fleetRecord() storage.Record {
@@ -323,6 +353,7 @@
 func (c *capacity) recorded(m recordedMsg, now time.Time) {
 	c.recording = false
 	if m.err != nil {
+		c.drained = true
 		return
 	}
 	for _, name := range m.hires {
@@ -330,8 +361,9 @@
 			h.durable = true
 		}
 	}
-	if m.drain != noMachine {
-		c.dispatch.post(drainMsg{m.drain, "spare"})
+	if m.drain != nil {
+		c.drains++
+		c.dispatch.post(drainMsg{*m.drain, "spare"})
 	}
 }
 
@@ -378,18 +410,21 @@
 	c.journal.Append(c.ctx, storage.Batch{Records: []storage.Record{rec}})
 }
 
-// giveBack asks the cloud to take machines whose return is durable.
+// giveBack asks the cloud to take machines whose return is durable, all that
+// have gathered at once.
 func (c *capacity) giveBack(ids []int) {
-	var batch []int
 	for _, id := range ids {
-		if !c.returning[id] && len(batch) < returnBatch {
-			c.returning[id] = true
-			batch = append(batch, id)
+		if !slices.Contains(c.toReturn, id) {
+			c.toReturn = append(c.toReturn, id)
 		}
 	}
-	if len(batch) == 0 {
+	if c.returning || len(c.toReturn) == 0 {
 		return
 	}
+	c.returning = true
+	n := min(len(c.toReturn), returnBatch)
+	batch := c.toReturn[:n:n]
+	c.toReturn = c.toReturn[n:]
 	c.call(func(ctx context.Context) {
 		c.post(returnAnswer{batch, c.cloud.Return(ctx, batch)})
 	})
--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -76,6 +76,7 @@
 	ungreeted  []*machine           // known at the take-over and not yet told our token
 	greeting   int                  // workers being told now
 	spareFrom  int                  // where the search for a machine to return goes on
+	drains     int                  // how many drains were asked for
 	lender     *lender              // what the peers may do while they can't reach us
 	solos      []solo               // what they may have done
 	unreached  map[int]bool         // machines that report but take no direct orders, since one last did
@@ -112,8 +113,8 @@
 	refusedMsg  struct{ offer offer }
 	returnedMsg struct{ machines []int }
 	drainMsg    struct {
-		machine int
-		reason  string
+		spare  spare
+		reason string
 	}
 )
 
@@ -270,9 +271,7 @@
 			d.goneBefore[id] = true
 		}
 	case drainMsg:
-		if mc := d.machines[m.machine]; mc != nil {
-			d.drain(mc, m.reason)
-		}
+		d.drainSpare(m)
 	default:
 		d.log.Error("unknown message", "type", fmt.Sprintf("%T", m))
 	}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -16,14 +16,16 @@
 
 // fleetView is what the capacity actor needs to know, once a second.
 type fleetView struct {
-	wants    []offer // machines that would cover the pressure, in order
-	healthy  bool    // every machine's reports are fresh and nothing is unproved
-	spare    int     // a machine that could be returned, or noMachine
-	emptied  []int   // drained machines without tasks, to be returned
-	lost     []int   // failed, silent or never-up machines, to be returned
-	draining bool    // a drain is still open
-	size     int     // machines that are or may be ours
-	settled  bool    // a cloud list has been seen in this term
+	wants    []offer            // machines that would cover the pressure, in order
+	healthy  bool               // every machine's reports are fresh and nothing is unproved
+	spares   []spare            // machines that could be returned, one after the other
+	emptied  []int              // drained machines without tasks, to be returned
+	lost     []int              // failed, silent or never-up machines, to be returned
+	drains   int                // how many drains had been asked for
+	draining bool               // a drain is still open
+	size     int                // machines that are or may be ours
+	settled  bool               // a cloud list has been seen in this term
+	boots    map[string]float64 // how long the types boot, in seconds
 }
 
 const (
@@ -37,7 +39,7 @@
 // fleetView reckons the pressure: the waiting tasks' requested room minus the
 // free room on ready and booting machines, by a trial packing.
 func (d *dispatcher) fleetView(now time.Time) fleetView {
-	v := fleetView{healthy: true, settled: d.listed, spare: noMachine}
+	v := fleetView{healthy: true, settled: d.listed, drains: d.drains}
 	p := &packing{dry: make(dryness)}
 	fresh := d.settings.fresh()
 	for _, m := range d.order {
@@ -72,9 +74,12 @@
 	if d.certain(now) {
 		d.learnPerGPU(now)
 		d.shortage(p, d.demands(now), v.size, now)
-		v.wants = p.wants
+		v.wants, v.boots = p.wants, make(map[string]float64, len(d.types))
+		for name, t := range d.types {
+			v.boots[name] = t.BootS
+		}
 		if len(v.wants) == 0 && v.healthy && !v.draining {
-			v.spare = d.spare(p, now)
+			v.spares = d.spares(p, now)
 		}
 	}
 	return v
@@ -121,6 +126,22 @@
 	d.place = true
 }
 
+// drainSpare drains a machine that the fleet can do without, unless it has got
+// work since that was found. An empty one is returned at once.
+func (d *dispatcher) drainSpare(msg drainMsg) {
+	d.drains++
+	m := d.machines[msg.spare.machine]
+	if m == nil || len(m.attempts) > msg.spare.attempts {
+		d.capacity.post(drainedMsg{})
+		return
+	}
+	d.drain(m, msg.reason)
+	if len(m.attempts) == 0 {
+		d.giveBack([]int{m.id})
+		d.capacity.post(drainedMsg{})
+	}
+}
+
 // handleList takes in what the cloud lists. Absence from a list proves
 // nothing; a machine is only let go once its lease has surely ended too.
 func (d *dispatcher) handleList(machines []Listed) {
--- a/internal/coordination/job.go
+++ b/internal/coordination/job.go
@@ -43,7 +43,7 @@
 	try     uint64
 	on      *machine
 	session uint64
-	mine    bool // booked in this term
+	mine    bool // booked or ordered in this term
 	durable bool
 	booked  time.Time
 
@@ -76,6 +76,11 @@
 	return !a.mine || a.seen || a.beatSeq != 0 || a.direct != directNone
 }
 
+// orderedIn notes that the answer to a report carries the start. One that an
+// earlier leader booked is ours from here on: a report that the worker makes
+// before that answer comes proves nothing of it, even under our token.
+func (a *attempt) orderedIn(r *Report) { a.beatSeq, a.mine = r.Seq, true }
+
 // loose tells whether a direct start may still be executed.
 func (a *attempt) loose() bool { return a.direct == directInFlight || a.direct == directUnresolved }
 
--- a/internal/coordination/machine.go
+++ b/internal/coordination/machine.go
@@ -35,6 +35,7 @@
 	noticeAt  time.Time
 
 	attempts map[TaskID]*attempt
+	idle     time.Time        // since when it has none
 	tainted  map[taskTry]bool // ended attempts that must not be forgotten yet
 	images   map[string]image
 
@@ -53,7 +54,7 @@
 
 func newMachine(id int, now time.Time) *machine {
 	return &machine{
-		id: id, born: now,
+		id: id, born: now, idle: now,
 		attempts: make(map[TaskID]*attempt),
 		tainted:  make(map[taskTry]bool),
 		images:   make(map[string]image),
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -23,7 +23,7 @@
 			// The start may still come, minutes late. Having the worker learn
 			// the attempt and end it makes the late start void.
 			if d.certain(now) {
-				a.beatSeq = r.Seq
+				a.orderedIn(r)
 				out = append(out, Order{Verb: Start, ID: a.id(), Try: a.try})
 			}
 			out = append(out, Order{Verb: Stop, ID: a.id(), Try: a.try})
@@ -31,7 +31,7 @@
 			d.free(a, "its start was not executed")
 		case a.stop:
 		case !a.seen && a.durable && d.certain(now) && !m.returning:
-			a.beatSeq = r.Seq
+			a.orderedIn(r)
 			out = append(out, Order{Verb: Start, ID: a.id(), Try: a.try})
 		}
 	}
--- a/internal/coordination/pressure.go
+++ b/internal/coordination/pressure.go
@@ -131,7 +131,7 @@
 // machine of its own when the places that it has will take it before a new
 // machine were up.
 func (d *dispatcher) shortage(p *packing, demands []*demand, size int, now time.Time) {
-	p.zones, p.limit, p.sizes = zonesOf(p.slots), d.settings.Tuning.growBound(size), make(map[string]int)
+	p.zones, p.limit, p.sizes = zonesOf(p.slots), wantSteps*d.settings.Tuning.growBound(size), make(map[string]int)
 	for _, m := range d.order {
 		p.sizes[m.zone]++
 	}
@@ -154,6 +154,10 @@
 	}
 }
 
+// wantSteps is for how many steps of growth a look finds wants: those that boot
+// longest go first.
+const wantSteps = 4
+
 // lateness reckons, class by class, for how many tasks to rent once more.
 type lateness struct{ coming, hedged float64 }
 
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -76,6 +76,9 @@
 	if r.Token == d.term && !m.heard && r.Session > m.lapsed {
 		// From here on only our own answers renew its lease.
 		m.heard, m.answered = true, now
+		if len(m.attempts) == 0 {
+			m.idle = now
+		}
 		d.log.Debug("machine ready", "machine", m.id, "type", m.kind, "zone", m.zone, "spot", m.spot, "after", now.Sub(m.born))
 		d.place = true
 	}
@@ -245,6 +248,9 @@
 	}
 	delete(j.attempts, a.task)
 	delete(m.attempts, a.id())
+	if len(m.attempts) == 0 {
+		m.idle = time.Now()
+	}
 	d.books.Release(m.id, j.spec.Team, j.spec.Room)
 	if a.direct != directNone {
 		m.tainted[taskTry{a.id(), a.try}] = true
--- a/internal/coordination/settings.go
+++ b/internal/coordination/settings.go
@@ -71,7 +71,7 @@
 // coolFleet is the fleet that the cooldown is meant for. A larger one returns
 // its machines faster in proportion, still one at a time, so that a whole fleet
 // of any size above takes as long to return.
-const coolFleet = 64
+const coolFleet = 16
 
 // cooldown is the pause after a machine of a fleet of that size was drained.
 func (t *Tuning) cooldown(size int) time.Duration {
@@ -84,7 +84,7 @@
 	downPerLease    = 1.0
 	coolPerLease    = 0.25
 	leaderPerLease  = 0.08
-	growStepDefault = hireMost // DESIGN starts at 4
+	growStepDefault = 4 * hireMost // DESIGN starts at 4
 	reserveDefault  = 1.0
 
 	// driftBound covers the workers' and our own steady clocks.
--- a/internal/coordination/slot.go
+++ b/internal/coordination/slot.go
@@ -18,6 +18,7 @@
 	plain   bool      // to be rented for tasks without accelerators
 	on      *machine  // nil: not yet rented
 	packed  []*demand // what a trial packing has put here, a task each
+	hosts   int       // tasks that a search for spare machines has moved here
 
 	freeing storage.Room // held by attempts that are being stopped
 	looked  bool         // freeing is reckoned
--- a/internal/coordination/spare.go
+++ b/internal/coordination/spare.go
@@ -3,53 +3,92 @@
 import (
 	"sort"
 	"time"
+
+	"sagevale/internal/storage"
 )
 
-// spareTries bounds how many machines one look tries to do without; the next
-// look goes on where it stopped.
-const spareTries = 8
+const (
+	// spareTries bounds how many machines with tasks one look tries to do
+	// without; the next look goes on where it stopped.
+	spareTries = 8
+	// sparesPerLook is the share of the fleet that one look may find to spare.
+	sparesPerLook = 1.0 / 32
+)
 
 // noMachine stands for none: the cloud numbers its machines from 0.
 const noMachine = -1
 
-// spare finds a machine without which all that waits, all that is to be kept
+// spare is a machine that the fleet can do without, and how many attempts it
+// had when that was found.
+type spare struct{ machine, attempts int }
+
+// spares finds machines without which all that waits, all that is to be kept
 // and what runs would still fit, trying first those that waste the most money.
-// The packing has just shown what fits with it.
-func (d *dispatcher) spare(p *packing, now time.Time) int {
-	type candidate struct {
-		s     *slot
-		waste float64
+// The packing has just shown what fits with them. They are drained and returned
+// one after the other.
+func (d *dispatcher) spares(p *packing, now time.Time) []spare {
+	most := max(1, int(sparesPerLook*float64(len(p.slots))))
+	var out []spare
+	busy, skip := 0, d.spareFrom // machines with tasks seen, and those tried at the last look
+	d.spareFrom = 0
+	for _, s := range d.wasters(p, now) {
+		if len(out) == most {
+			break
+		}
+		if s.hosts > 0 {
+			continue // takes what leaves another
+		}
+		if len(s.on.attempts) > 0 || len(s.packed) > 0 {
+			if busy++; busy <= skip {
+				continue
+			}
+			if busy > skip+spareTries {
+				d.spareFrom = busy - 1
+				break
+			}
+		}
+		if d.canSpare(p, s, now) {
+			s.free = storage.Room{CPUs: -1}
+			out = append(out, spare{s.on.id, len(s.on.attempts)})
+		}
 	}
-	var cs []candidate
+	return out
+}
+
+// idlePerBoot is how long a machine without tasks is kept, in times of its boot:
+// one that is needed again boots, and is paid for, that long.
+const idlePerBoot = 0.25
+
+// restsBriefly tells whether the machine has had no tasks for a short time only.
+func (m *machine) restsBriefly(now time.Time) bool {
+	return len(m.attempts) == 0 && now.Sub(m.idle) < seconds(idlePerBoot*m.typ.BootS)
+}
+
+// wasters lists the slots of the ready machines, those that waste the most
+// money first.
+func (d *dispatcher) wasters(p *packing, now time.Time) []*slot {
+	waste := make(map[*slot]float64)
+	var out []*slot
 	for _, s := range p.slots {
-		if s.on == nil || !s.on.ready(now, d.settings.fresh()) {
+		if s.on == nil || !s.on.ready(now, d.settings.fresh()) || s.on.restsBriefly(now) {
 			continue
 		}
 		price := s.typ.Price
 		if s.spot {
 			price = s.typ.SpotPrice
 		}
-		if waste := price * (1 - d.bookedShare(s.on)); waste > 0 {
-			cs = append(cs, candidate{s, waste})
+		if w := price * (1 - d.bookedShare(s.on)); w > 0 {
+			waste[s] = w
+			out = append(out, s)
 		}
 	}
-	sort.Slice(cs, func(a, b int) bool {
-		if cs[a].waste != cs[b].waste {
-			return cs[a].waste > cs[b].waste
+	sort.Slice(out, func(a, b int) bool {
+		if waste[out[a]] != waste[out[b]] {
+			return waste[out[a]] > waste[out[b]]
 		}
-		return cs[a].s.on.id < cs[b].s.on.id
+		return out[a].on.id < out[b].on.id
 	})
-	if d.spareFrom >= len(cs) {
-		d.spareFrom = 0
-	}
-	for _, c := range cs[d.spareFrom:min(len(cs), d.spareFrom+spareTries)] {
-		if d.canSpare(p, c.s, now) {
-			d.spareFrom = 0
-			return c.s.on.id
-		}
-	}
-	d.spareFrom += spareTries
-	return noMachine
+	return out
 }
 
 func (d *dispatcher) bookedShare(m *machine) float64 {
@@ -73,14 +112,15 @@
 		_, cached := o.on.images[j.spec.Image]
 		return cached || !j.spec.Service
 	})
-	defer func() { undo() }()
 	if !ok {
+		undo()
 		return false
 	}
 	for _, dm := range s.packed {
 		zones := newZoneCheck(dm.job)
 		o := d.fullest(p.slots, dm.job, &zones, ready)
 		if o == nil {
+			undo()
 			return false
 		}
 		undo = o.take(dm.job, undo)
@@ -90,10 +130,11 @@
 
 // take uses room of the slot; the returned function gives it back, after undo.
 func (s *slot) take(j *job, undo func()) func() {
-	free := s.free
-	s.free = free.Minus(j.spec.Room)
+	s.free = s.free.Minus(j.spec.Room)
+	s.hosts++
 	return func() {
 		s.free = s.free.Plus(j.spec.Room)
+		s.hosts--
 		undo()
 	}
 }
--- a/internal/coordination/stories_test.go
+++ b/internal/coordination/stories_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"sagevale/internal/storage"
@@ -510,3 +511,29 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// A new leader orders an attempt of the earlier one again in the answer to a
+// report; the worker's answer to the greeting, made before that came, doesn't
+// list it. It was called absent, started elsewhere, and ran twice.
+func TestAStartOrderedAgainIsNotProvedAbsentByAnOlderAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		m := d.machine(1)
+		m.addr, m.session = "1", 1
+		j := d.accept(sweep("000001", 1))
+		a := &attempt{job: j, task: 0, try: 1, on: m, session: 1, durable: true} // loaded
+		d.enter(a)
+		r := &Report{Machine: 1, Addr: "1", Type: "cpu", Zone: "a", Session: 1, Seq: 1, Token: d.term - 1}
+		if got := d.handleBeat(r); len(got.Orders) != 1 || got.Orders[0].Verb != Start {
+			t.Fatalf("answered %+v", got)
+		}
+		d.handleDirect(directMsg{machine: 1, greet: true, outcome: Executed,
+			report: &Report{Machine: 1, Addr: "1", Type: "cpu", Zone: "a", Session: 1, Seq: 2, Token: d.term}})
+		if j.attempts[0] != a {
+			t.Error("the attempt is called absent while its start is on the way")
+		}
+		if got := d.handleBeat(&Report{Machine: 1, Addr: "1", Type: "cpu", Zone: "a", Session: 1, Seq: 3, Token: d.term}); len(got.Orders) != 1 {
+			t.Errorf("not ordered again: %+v", got)
+		}
+	})
+}
