--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -8,30 +8,55 @@
 	"sagevale/internal/storage"
 )
 
-// The hot paths at grown size, to be compared with earlier versions of our own.
+// The hot paths at fleet size, 2,000 machines and 12,000 attempts, to be
+// compared with earlier versions of our own.
 
-// benchDesk is a desk with 400 machines that carry some 1,500 services.
+const (
+	benchMachines = 2000
+	benchServices = 1000 // of five tasks
+	benchSweeps   = 600  // of twelve tasks
+)
+
+// benchDesk is a desk with a fleet that carries services and sweeps.
 func benchDesk(b *testing.B) *dispatcher {
 	b.Helper()
 	d := newDesk(b, grownSettings())
-	for i := range 400 {
+	for i := range benchMachines {
 		kind := "cpu"
-		if i%8 == 0 {
+		if i%2 == 0 {
 			kind = "gpu"
 		}
-		d.up(i+1, kind, []string{"a", "b"}[i%2], false)
+		d.up(i+1, kind, []string{"a", "b"}[i/2%2], i%6 == 0)
+	}
+	for i := range benchServices {
+		s := spread(fmt.Sprintf("%06d", i), 5)
+		s.Image = fmt.Sprintf("img-%02d", i%16)
+		d.accept(s)
 	}
-	for i := range 300 {
-		d.accept(spread(fmt.Sprintf("%06d", i), 5))
+	for i := range benchSweeps {
+		d.accept(benchSweep(100000+i, 12))
 	}
-	for range 4 {
+	for d.place = true; d.place; {
 		d.placeRound(time.Now())
 	}
+	for _, m := range d.order {
+		for _, a := range m.attempts {
+			a.durable, a.seen, a.state, a.started = true, true, Running, time.Now()
+		}
+	}
 	d.committed = nil
 	clear(d.dirty)
+	d.firstJob = time.Now().Add(-3 * d.settings.Lease)
 	return d
 }
 
+func benchSweep(id, tasks int) storage.Spec {
+	s := sweep(fmt.Sprintf("%06d", id), tasks)
+	s.Room, s.Spot, s.DeadlineS = storage.Room{CPUs: 8, GPUs: 1, MemoryGB: 25}, true, 90
+	s.Image, s.ImageGB = fmt.Sprintf("big-%d", id%4), 34
+	return s
+}
+
 // BenchmarkReport is a report of an ordinary machine and its answer.
 func BenchmarkReport(b *testing.B) {
 	d := benchDesk(b)
@@ -51,7 +76,7 @@
 func BenchmarkRoundInVain(b *testing.B) {
 	d := benchDesk(b)
 	for i := range 200 {
-		s := spread(fmt.Sprintf("%06d", 1000+i), 6)
+		s := spread(fmt.Sprintf("%06d", 200000+i), 6)
 		s.Room = storage.Room{CPUs: 65}
 		d.accept(s)
 	}
@@ -60,11 +85,73 @@
 	}
 }
 
+// BenchmarkRoundOfOne is a round that places a service of one task while 200
+// sweeps wait for accelerators.
+func BenchmarkRoundOfOne(b *testing.B) {
+	d := benchDesk(b)
+	for i := range 200 {
+		d.accept(benchSweep(200000+i, 40))
+	}
+	s := service("300000", 1)
+	s.Room = storage.Room{CPUs: 0.1}
+	for b.Loop() {
+		j := d.accept(s)
+		d.placeRound(time.Now())
+		d.free(j.attempts[0], "placed")
+		delete(d.open, s.ID)
+	}
+}
+
 // BenchmarkFleetView is a look at the fleet on a quiet moment.
 func BenchmarkFleetView(b *testing.B) {
 	d := benchDesk(b)
-	d.firstJob = time.Now().Add(-3 * d.settings.Lease)
 	for b.Loop() {
 		d.fleetView(time.Now())
 	}
 }
+
+// BenchmarkFleetViewBacklog is a look while 200 sweeps of 40 tasks wait.
+func BenchmarkFleetViewBacklog(b *testing.B) {
+	d := benchDesk(b)
+	for i := range 200 {
+		d.accept(benchSweep(200000+i, 40))
+	}
+	for b.Loop() {
+		d.fleetView(time.Now())
+	}
+}
+
+// BenchmarkTick is the clock's work besides looks and rounds.
+func BenchmarkTick(b *testing.B) {
+	d := benchDesk(b)
+	d.viewAt = time.Now().Add(time.Hour)
+	for b.Loop() {
+		d.tick()
+		d.publishLending(time.Now())
+	}
+}
+
+// BenchmarkLoad rebuilds the state of the whole fleet from its records.
+func BenchmarkLoad(b *testing.B) {
+	d := benchDesk(b)
+	var records []storage.Record
+	add := func(key string, data any) {
+		r, err := storage.NewRecord(key, data)
+		if err != nil {
+			b.Fatal(err)
+		}
+		records = append(records, r)
+	}
+	for _, m := range d.order {
+		add(storage.MachineKey(m.id), m.record())
+	}
+	for id, j := range d.open {
+		add(storage.JobKey(id), j.record())
+		add(storage.PageKey(id, 0), j.page(0))
+	}
+	for b.Loop() {
+		if err := newDesk(b, grownSettings()).load(records); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -69,7 +69,8 @@
 		if m.typ == nil || m.troubled(now) || (!m.heard && m.bootOverdue(now, bootPatience)) {
 			continue
 		}
-		p.slots = append(p.slots, d.slotOf(m))
+		s := slotOf(m)
+		p.slots = append(p.slots, &s)
 	}
 	if d.certain(now) {
 		d.learnPerGPU(now)
--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -207,7 +207,8 @@
 		if len(r.booked) != 400 || r.dry.from(j.shape(), &zones, r.zones) != len(r.slots) {
 			t.Fatalf("%d booked, searched up to %d", len(r.booked), r.dry.from(j.shape(), &zones, r.zones))
 		}
-		r.slots = append(r.slots, d.slotOf(d.up(200, "cpu", "a", false)))
+		added := slotOf(d.up(200, "cpu", "a", false))
+		r.slots = append(r.slots, &added)
 		if s := d.choose(j, r, &zones); s == nil || s.on.id != 200 {
 			t.Error("the slot that was added isn't found")
 		}
--- a/internal/coordination/machine.go
+++ b/internal/coordination/machine.go
@@ -35,8 +35,11 @@
 	noticeAt  time.Time
 
 	attempts map[TaskID]*attempt
-	idle     time.Time        // since when it has none
-	tainted  map[taskTry]bool // ended attempts that must not be forgotten yet
+	booked   *storage.Room                        // by all attempts, as the books have it
+	live     [storage.Production + 1]storage.Room // by attempts of each priority that aren't being stopped
+	stopping storage.Room                         // by those that are
+	idle     time.Time                            // since when it has none
+	tainted  map[taskTry]bool                     // ended attempts that must not be forgotten yet
 	images   map[string]image
 
 	failures  int // failed tasks of different jobs without a success between
@@ -107,6 +110,15 @@
 	}
 }
 
+// hold enters an attempt's room (1), or takes it out (-1).
+func (m *machine) hold(a *attempt, times int) {
+	sum := &m.stopping
+	if !a.stop {
+		sum = &m.live[a.job.spec.Priority]
+	}
+	*sum = sum.Plus(a.job.spec.Room.Times(times))
+}
+
 func (m *machine) record() *storage.MachineRecord {
 	rec := &storage.MachineRecord{Addr: m.addr, Type: m.kind, Zone: m.zone, Spot: m.spot, Session: m.session, Returning: m.returning}
 	if len(m.images) > 0 {
@@ -133,6 +145,7 @@
 	m := d.machines[id]
 	if m == nil {
 		m = newMachine(id, time.Now())
+		m.booked = d.books.Machine(id)
 		d.machines[id] = m
 		i, _ := d.position(id)
 		d.order = slices.Insert(d.order, i, m)
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -15,7 +15,7 @@
 	scanLimit = 512
 	// roundRest is how long placement rests after a round, in durations of
 	// that round: what comes meanwhile widens the next.
-	roundRest = 4
+	roundRest = 8
 )
 
 // round is one round of placement: the ready machines' room, and what has been
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -57,23 +57,13 @@
 // a task of j, the cheapest to lose first. Room that is being freed already
 // counts: then there is nothing to stop.
 func (s *slot) victims(j *job, now time.Time) ([]*attempt, float64, bool) {
-	if !s.looked {
-		s.looked = true
-		for _, a := range s.on.attempts {
-			if a.stop {
-				s.freeing = s.freeing.Plus(a.job.spec.Room)
-			}
-		}
-	}
 	free := s.free.Plus(s.freeing)
 	if j.spec.Room.Fits(free) {
 		return nil, 0, true
 	}
 	most := free
-	for _, a := range s.on.attempts {
-		if !a.stop && a.job.spec.Priority < j.spec.Priority {
-			most = most.Plus(a.job.spec.Room)
-		}
+	for _, live := range s.on.live[:j.spec.Priority] {
+		most = most.Plus(live)
 	}
 	if !j.spec.Room.Fits(most) {
 		return nil, 0, false
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -237,6 +237,7 @@
 	a.job.setTask(a.task, taskActive)
 	a.on.attempts[a.id()] = a
 	d.books.Book(a.on.id, a.job.spec.Team, a.job.spec.Room)
+	a.on.hold(a, 1)
 }
 
 // free takes an attempt out of the books: its place is proved empty, or its
@@ -252,6 +253,7 @@
 		m.idle = time.Now()
 	}
 	d.books.Release(m.id, j.spec.Team, j.spec.Room)
+	m.hold(a, -1)
 	if a.direct != directNone {
 		m.tainted[taskTry{a.id(), a.try}] = true
 	}
@@ -273,6 +275,8 @@
 		return
 	}
 	if !a.stop || graceS < a.graceS {
+		a.on.hold(a, -1)
 		a.stop, a.graceS = true, graceS
+		a.on.hold(a, 1)
 	}
 }
--- a/internal/coordination/slot.go
+++ b/internal/coordination/slot.go
@@ -21,25 +21,26 @@
 	hosts   int       // tasks that a search for spare machines has moved here
 
 	freeing storage.Room // held by attempts that are being stopped
-	looked  bool         // freeing is reckoned
 }
 
 // readySlots returns the free room on the ready machines, in their order.
 func (d *dispatcher) readySlots(now time.Time) []*slot {
 	slots := make([]*slot, 0, len(d.order))
+	room := make([]slot, len(d.order)) // in one piece
 	fresh := d.settings.fresh()
-	for _, m := range d.order {
+	for i, m := range d.order {
 		if m.ready(now, fresh) {
-			slots = append(slots, d.slotOf(m))
+			room[i] = slotOf(m)
+			slots = append(slots, &room[i])
 		}
 	}
 	return slots
 }
 
-func (d *dispatcher) slotOf(m *machine) *slot {
-	return &slot{
+func slotOf(m *machine) slot {
+	return slot{
 		offer: offer{m.kind, m.zone, m.spot}, typ: m.typ, on: m, booting: !m.heard,
-		free: m.typ.Room.Minus(d.books.Machine(m.id)),
+		free: m.typ.Room.Minus(*m.booked), freeing: m.stopping,
 	}
 }
 
--- a/internal/coordination/spare.go
+++ b/internal/coordination/spare.go
@@ -92,7 +92,7 @@
 }
 
 func (d *dispatcher) bookedShare(m *machine) float64 {
-	used, all := d.books.Machine(m.id), m.typ.Room
+	used, all := m.booked, m.typ.Room
 	share := used.CPUs / all.CPUs
 	if all.GPUs > 0 {
 		share = max(share, used.GPUs/all.GPUs)
--- a/internal/storage/books.go
+++ b/internal/storage/books.go
@@ -3,32 +3,41 @@
 // Books holds the room that is booked on machines and by teams. A booking
 // stays until its place is proved empty, so unproved tasks count to both.
 type Books struct {
-	machines map[int]Room
+	machines map[int]*Room
 	teams    map[string]Room
 	attempts int
 }
 
 // NewBooks returns empty books.
 func NewBooks() *Books {
-	return &Books{machines: make(map[int]Room), teams: make(map[string]Room)}
+	return &Books{machines: make(map[int]*Room), teams: make(map[string]Room)}
 }
 
 // Book enters one attempt's room.
 func (b *Books) Book(machine int, team string, r Room) {
-	b.machines[machine] = b.machines[machine].Plus(r)
+	held := b.Machine(machine)
+	*held = held.Plus(r)
 	b.teams[team] = b.teams[team].Plus(r)
 	b.attempts++
 }
 
 // Release takes one attempt's room out again.
 func (b *Books) Release(machine int, team string, r Room) {
-	b.machines[machine] = b.machines[machine].Minus(r)
+	held := b.Machine(machine)
+	*held = held.Minus(r)
 	b.teams[team] = b.teams[team].Minus(r)
 	b.attempts--
 }
 
-// Machine returns what is booked on a machine.
-func (b *Books) Machine(id int) Room { return b.machines[id] }
+// Machine returns what is booked on a machine, to be read at any time.
+func (b *Books) Machine(id int) *Room {
+	held := b.machines[id]
+	if held == nil {
+		held = new(Room)
+		b.machines[id] = held
+	}
+	return held
+}
 
 // Team returns what a team has booked.
 func (b *Books) Team(name string) Room { return b.teams[name] }
