--- a/internal/coordination/capacity.go
+++ b/internal/coordination/capacity.go
@@ -123,7 +123,6 @@
 }
 
 func (c *capacity) run(ctx context.Context) error {
-	c.ctx = ctx
 	tick := time.NewTicker(scale(c.settings.Report, tickPerReport))
 	defer tick.Stop()
 	cool := time.NewTimer(0) // ends the pause after a drain
--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -190,7 +190,6 @@
 // and writes in one group what must be durable. The more arrives, the wider
 // the rounds.
 func (d *dispatcher) run(ctx context.Context) error {
-	d.ctx = ctx
 	d.ungreeted = slices.Clone(d.order)
 	d.spreadToken()
 	tick := time.NewTicker(scale(d.settings.Report, tickPerReport))
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -147,6 +147,7 @@
 	d.hears = func() time.Duration { return n.courier.heard.since(time.Since(n.lead.began)) }
 	log.Info("take-over", "jobs", len(d.jobs), "machines", len(d.machines), "attempts", d.books.Attempts(), "took", time.Since(started))
 	g, gctx := errgroup.WithContext(ctx)
+	d.ctx, c.ctx = gctx, gctx // before any of the actors can speak to another
 	g.Go(func() error { return journal.Run(gctx) })
 	g.Go(func() error { return d.run(gctx) })
 	g.Go(func() error { return c.run(gctx) })
