Workers leave room on a node's sockets; a hung machine holds few of them

Half of the sockets may be kept by workers between reports, beyond that a connection is closed with its answer; at two thirds in use idle workers' connections are closed to let others in; direct orders hold a sixth and three a machine.

--- a/cmd/sagevale/serve.go
+++ b/cmd/sagevale/serve.go
@@ -43,7 +43,7 @@
 	log.Info("serving", "users", s.Listen, "peers", s.PeerListen, "version", version)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return node.Run(ctx) })
-	g.Go(func() error { return transport.NewServer(node, log).Serve(ctx, users) })
+	g.Go(func() error { return transport.NewServer(node, s.Sockets, log).Serve(ctx, users) })
 	g.Go(func() error { return transport.ServePeers(ctx, peerListener, node, log) })
 	g.Go(func() error { peers.Run(ctx); return nil })
 	return g.Wait()
--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -433,3 +433,33 @@
 		}
 	})
 }
+
+// Machines that hang keep each direct order waiting. A hundred of them once held
+// all the sockets for orders; now each holds a few, and the rest goes with its
+// reports.
+func TestAHungMachineHoldsFewSockets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		m := d.up(1, "cpu", "a", false)
+		j := d.accept(sweep("000001", 10))
+		sent := 0
+		for i := range 10 {
+			a := &attempt{job: j, task: i, try: uint64(i + 1), on: m, session: 1, mine: true, durable: true}
+			d.enter(a)
+			d.direct(m, []Order{{Verb: Start, ID: a.id(), Try: a.try}}, []*attempt{a})
+			if a.direct == directInFlight {
+				sent++
+			}
+		}
+		if sent != directMost {
+			t.Errorf("%d orders at a time", sent)
+		}
+		for range sent {
+			d.handle(<-d.mailbox)
+		}
+		r := &Report{Machine: 1, Addr: "1", Type: "cpu", Zone: "a", Session: 1, Seq: m.seq + 1, Token: d.term}
+		if got := d.handleBeat(r); len(got.Orders) != 10 {
+			t.Errorf("%d starts go with the report", len(got.Orders))
+		}
+	})
+}
--- a/internal/coordination/machine.go
+++ b/internal/coordination/machine.go
@@ -42,6 +42,7 @@
 	tainted  map[taskTry]bool                     // ended attempts that must not be forgotten yet
 	images   map[string]image
 
+	inFlight  int // direct orders not yet answered
 	failures  int // failed tasks of different jobs without a success between
 	lastFail  string
 	unheeding bool // didn't do as it was told when that was last looked at
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -66,10 +66,15 @@
 	}
 }
 
+// directMost is how many direct orders may be on their way to a worker. One that
+// leaves them unanswered gets the rest with its reports, and its sockets are for
+// others.
+const directMost = 3
+
 // direct sends orders straight to a worker. The starts among them are loose
 // until the answer comes.
 func (d *dispatcher) direct(m *machine, orders []Order, starts []*attempt) {
-	if m.addr == "" || m.session == 0 {
+	if m.addr == "" || m.session == 0 || m.inFlight >= directMost {
 		return
 	}
 	for _, a := range starts {
@@ -80,6 +85,7 @@
 
 func (d *dispatcher) send(m *machine, orders []Order, starts []*attempt, limit time.Duration) {
 	addr, session, id := m.addr, m.session, m.id
+	m.inFlight++
 	go func() {
 		ctx, cancel := context.WithTimeout(d.ctx, limit)
 		defer cancel()
@@ -123,6 +129,7 @@
 	now := time.Now()
 	m := d.machines[msg.machine]
 	if m != nil {
+		m.inFlight = max(0, m.inFlight-1)
 		d.reached(m, msg.outcome == Executed || msg.outcome == Rejected, now)
 	}
 	if msg.greet {
--- a/internal/transport/bench_test.go
+++ b/internal/transport/bench_test.go
@@ -15,19 +15,11 @@
 
 // What one request costs, all but the decision.
 
-// fakeNode answers at once.
-type fakeNode struct{}
-
-func (fakeNode) User(_ context.Context, r coordination.UserRequest) coordination.Answer {
-	return coordination.Answer{Code: coordination.CodeOK, ID: r.ID, State: coordination.StateRunning, Running: 3}
-}
-
-func (fakeNode) Beat(context.Context, *coordination.Report) coordination.BeatAnswer {
-	return coordination.BeatAnswer{Accepted: true, Token: 7}
+// answering is a node that answers at once.
+func answering() *stub {
+	return &stub{answer: coordination.Answer{Code: coordination.CodeOK, ID: "000412", State: coordination.StateRunning, Running: 3}, beat: coordination.BeatAnswer{Accepted: true, Token: 7}}
 }
 
-func (fakeNode) Able() bool { return true }
-
 func serveBench(b *testing.B) (addr string) {
 	b.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -36,7 +28,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	b.Cleanup(cancel)
-	go func() { _ = NewServer(fakeNode{}, quiet).Serve(ctx, l) }()
+	go func() { _ = NewServer(answering(), 1000, quiet).Serve(ctx, l) }()
 	return l.Addr().String()
 }
 
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -35,16 +35,18 @@
 
 // Server answers users and workers over HTTP.
 type Server struct {
-	node Controller
-	log  *slog.Logger
-	http *http.Server
+	node    Controller
+	sockets int
+	log     *slog.Logger
+	http    *http.Server
 }
 
-// NewServer makes a server for a node.
-func NewServer(node Controller, log *slog.Logger) *Server {
-	s := &Server{node: node, log: log}
+// NewServer makes a server for a node that has so many sockets.
+func NewServer(node Controller, sockets int, log *slog.Logger) *Server {
+	s := &Server{node: node, sockets: sockets, log: log}
 	s.http = &http.Server{
 		Handler:           s,
+		ConnContext:       withGuest,
 		ReadHeaderTimeout: submitPatience,
 		ReadTimeout:       2 * submitPatience,
 		IdleTimeout:       time.Minute,
@@ -58,7 +60,7 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { s.http.Close() })
 	defer stop()
-	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(newDoor(l, s.sockets)); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve: %w", err)
 	}
 	return nil
@@ -187,9 +189,19 @@
 		refuse(w, http.StatusBadRequest, err.Error(), 0)
 		return
 	}
+	if g := guestOf(r.Context()); g != nil {
+		g.busy.Store(true)
+		defer g.busy.Store(false)
+		if !g.reports() {
+			w.Header().Set("Connection", "close")
+		}
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(float64(beatPatience)*patienceShare))
 	defer cancel()
 	a := s.node.Beat(ctx, report)
+	if !a.Accepted {
+		w.Header().Set("Connection", "close") // it goes elsewhere
+	}
 	switch {
 	case a.Accepted:
 		reply(w, http.StatusOK, protocol.NewBeatAnswer(a))
--- a/internal/transport/workers.go
+++ b/internal/transport/workers.go
@@ -10,15 +10,8 @@
 	"sagevale/internal/protocol"
 )
 
-const (
-	// orderSockets is the share of the sockets that direct orders may hold,
-	// idleSockets that of connections kept for the next ones: most of a node's
-	// sockets are its workers' own.
-	orderSockets = 1.0 / 4
-	idleSockets  = 1.0 / 8
-	// idleOrders is how long an idle connection to a worker is kept.
-	idleOrders = 10 * time.Second
-)
+// idleOrders is how long an idle connection to a worker is kept.
+const idleOrders = 10 * time.Second
 
 // WorkerClient sends orders straight to workers.
 type WorkerClient struct {
@@ -32,8 +25,7 @@
 // NewWorkerClient makes a client that keeps one idle connection a worker, as
 // far as the sockets allow.
 func NewWorkerClient(sockets int, log *slog.Logger) *WorkerClient {
-	share := func(f float64) int { return max(1, int(float64(sockets)*f)) }
-	return &WorkerClient{newClient(1, share(idleSockets), idleOrders), make(chan struct{}, share(orderSockets)), log}
+	return &WorkerClient{newClient(1, socketShare(sockets, idleSockets), idleOrders), make(chan struct{}, socketShare(sockets, orderSockets)), log}
 }
 
 // Orders sends orders and returns the worker's report after them.
