--- a/internal/transport/door_test.go
+++ b/internal/transport/door_test.go
@@ -36,7 +36,8 @@
 func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
 
 // ask sends one request and returns the answer's head, and whether the
-// connection stays open.
+// connection stays open. One that doesn't has been closed when ask returns: on a
+// busy machine the door else counts it for a while longer, and sheds others.
 func ask(t *testing.T, c net.Conn, req string) (head string, stays bool) {
 	t.Helper()
 	if _, err := io.WriteString(c, req); err != nil {
@@ -48,7 +49,13 @@
 		return err.Error(), false
 	}
 	head = string(buf[:n])
-	return head, !strings.Contains(head, "Connection: close")
+	if !strings.Contains(head, "Connection: close") {
+		return head, true
+	}
+	for err == nil {
+		_, err = c.Read(buf)
+	}
+	return head, false
 }
 
 // More workers than sockets: those beyond a share are closed with their
