--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"sync/atomic"
 	"time"
 
 	"sagevale/internal/storage"
@@ -29,16 +30,17 @@
 // dispatcher is the actor for jobs, bookings and placement during one term of
 // leadership. All its fields are its own; others speak to it by messages.
 type dispatcher struct {
-	settings *Settings
-	deps     Deps
-	term     uint64
-	role     Role
-	resigned bool // the lead has been given up
-	journal  *storage.Journal
-	capacity *capacity
-	resign   chan<- resignation
-	log      *slog.Logger
-	rand     *rand.Rand
+	settings    *Settings
+	deps        Deps
+	term        uint64
+	role        Role
+	resigned    bool                      // the lead has been given up
+	certainTill atomic.Pointer[time.Time] // role.Certain, for those who pass answers on
+	journal     *storage.Journal
+	capacity    *capacity
+	resign      chan<- resignation
+	log         *slog.Logger
+	rand        *rand.Rand
 
 	mailbox chan any
 	closed  chan struct{}
@@ -130,6 +132,7 @@
 		dirty: make(map[string]func() any), goneBefore: make(map[int]bool), place: true,
 		lender: newLender(s), unreached: make(map[int]bool), hears: func() time.Duration { return 0 },
 	}
+	d.setRole(role)
 	return d, d.load(journal.Records())
 }
 
@@ -148,6 +151,7 @@
 // once.
 func (d *dispatcher) user(ctx context.Context, req UserRequest) Answer {
 	reply := make(chan Answer, 1)
+	asked := time.Now()
 	select {
 	case d.mailbox <- userMsg{req, reply}:
 	case <-d.closed:
@@ -157,7 +161,7 @@
 	}
 	select {
 	case a := <-reply:
-		return a
+		return d.lasting(a, asked)
 	case <-d.closed:
 		return Unavailable(req.ID, "leader is stepping down")
 	case <-ctx.Done():
@@ -165,6 +169,26 @@
 	}
 }
 
+// lasting bounds for how long an answer may be told that isn't final. This
+// process may have stood still since it was given.
+func (d *dispatcher) lasting(a Answer, asked time.Time) Answer {
+	if a.final() || !a.decided() {
+		return a
+	}
+	certain := d.certainTill.Load()
+	if certain == nil || !time.Now().Before(*certain) {
+		return Unavailable(a.ID, "leadership not certain")
+	}
+	a.Holds = certain.Sub(asked)
+	return a
+}
+
+// setRole takes in a change of our role.
+func (d *dispatcher) setRole(r Role) {
+	d.role = r
+	d.certainTill.Store(&r.Certain)
+}
+
 // beats hands workers' reports to the dispatcher; nil means that it doesn't
 // decide on them.
 func (d *dispatcher) beats(ctx context.Context, reports []*Report) []BeatAnswer {
@@ -240,7 +264,7 @@
 		// A renewal that was under way when we resigned comes too late: the
 		// grant may be ended at any moment now.
 		if !d.resigned {
-			d.role = m.role
+			d.setRole(m.role)
 		}
 	case userMsg:
 		d.handleUser(m)
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -32,6 +32,8 @@
 		if j.phase == storage.Open || len(j.attempts) > 0 {
 			d.open[j.spec.ID] = j
 			d.openTasks += len(j.tasks)
+			// Its pages may have become durable and its own record not.
+			d.finish(j)
 		} else {
 			j.tasks, j.waiting = nil, 0
 		}
--- a/internal/coordination/machine.go
+++ b/internal/coordination/machine.go
@@ -19,7 +19,8 @@
 	typ  *storage.MachineType
 
 	session, seq, token uint64
-	lastBeat            time.Time    // the last newer report
+	lastBeat            time.Time    // the last newer report, or answer to a direct command
+	reported            time.Time    // the last newer report; until there is one, since when we know of it
 	answered            time.Time    // the last report that was answered 200
 	heard               bool         // has reported under this term's token
 	lapsed              uint64       // a session that has surely ended
@@ -58,7 +59,7 @@
 
 func newMachine(id int, now time.Time) *machine {
 	return &machine{
-		id: id, born: now, idle: now,
+		id: id, born: now, idle: now, reported: now,
 		attempts: make(map[TaskID]*attempt),
 		tainted:  make(map[taskTry]bool),
 		images:   make(map[string]image),
@@ -70,10 +71,12 @@
 	return r.Session < m.session || r.Session == m.session && r.Seq <= m.seq
 }
 
-// ready tells whether tasks may be placed on the machine.
+// ready tells whether tasks may be placed on the machine. Answers to direct
+// commands alone don't make it so: where no report comes through, the lease runs
+// out, however well the machine can be reached.
 func (m *machine) ready(now time.Time, fresh time.Duration) bool {
 	return m.heard && m.typ != nil && m.draining == "" && !m.returning && !m.failed &&
-		now.Sub(m.lastBeat) <= fresh && !now.Before(m.pauseTill)
+		now.Sub(m.lastBeat) <= fresh && now.Sub(m.reported) <= fresh && !now.Before(m.pauseTill)
 }
 
 // troubled tells whether the machine is left alone because it fails tasks or
--- a/internal/coordination/mail.go
+++ b/internal/coordination/mail.go
@@ -106,23 +106,29 @@
 	return nil
 }
 
-// collect sorts changed keys of one transaction into batches by their sender.
-func collect(changes []storage.Item, prefix string) map[string][]piece {
-	pieces := make(map[string][]piece)
+// parcelID tells batches of one sender apart: a transaction that is carried out
+// late brings an old batch among newer ones.
+type parcelID struct {
+	sender string
+	run    uint64
+	serial uint64
+}
+
+// collect sorts changed keys into whole batches.
+func collect(changes []storage.Item, prefix string) map[parcelID][]piece {
+	pieces := make(map[parcelID][]piece)
 	for _, it := range changes {
 		name, _, ok := strings.Cut(strings.TrimPrefix(it.Key, prefix), "/")
 		var p piece
 		if !ok || it.Data == nil || json.Unmarshal(it.Data, &p) != nil {
 			continue
 		}
-		if old := pieces[name]; len(old) > 0 && (old[0].Serial != p.Serial || old[0].Run != p.Run) {
-			pieces[name] = nil
-		}
-		pieces[name] = append(pieces[name], p)
+		id := parcelID{name, p.Run, p.Serial}
+		pieces[id] = append(pieces[id], p)
 	}
-	for name, ps := range pieces {
+	for id, ps := range pieces {
 		if len(ps) != ps[0].Of {
-			delete(pieces, name)
+			delete(pieces, id)
 		}
 	}
 	return pieces
@@ -320,10 +326,11 @@
 	guard    storage.Guard
 	desk     *dispatcher
 	limiter  *rate.Limiter
+	latest   map[string]parcelID // by sender
 }
 
 func newPostmaster(s *Settings, deps Deps, guard storage.Guard, desk *dispatcher) *postmaster {
-	return &postmaster{settings: s, svc: deps.State, log: deps.Log, guard: guard, desk: desk, limiter: mailLimiter(s)}
+	return &postmaster{settings: s, svc: deps.State, log: deps.Log, guard: guard, desk: desk, limiter: mailLimiter(s), latest: make(map[string]parcelID)}
 }
 
 func (p *postmaster) run(ctx context.Context) {
@@ -342,17 +349,30 @@
 			continue
 		}
 		rev = next
-		for name, pieces := range collect(changes, askPrefix) {
+		for id, pieces := range collect(changes, askPrefix) {
+			if !p.isNews(id) {
+				continue
+			}
 			var letters []letter
 			if err := decodePieces(pieces, &letters); err != nil {
-				p.log.Error("mail not understood", "from", name, "err", err)
+				p.log.Error("mail not understood", "from", id.sender, "err", err)
 				continue
 			}
-			p.answer(ctx, name, pieces[0], letters)
+			p.answer(ctx, id.sender, pieces[0], letters)
 		}
 	}
 }
 
+// isNews notes a batch and tells whether it is the sender's latest. Who sent an
+// earlier one has given up on it, and its reports may be old.
+func (p *postmaster) isNews(id parcelID) bool {
+	if last, ok := p.latest[id.sender]; ok && last.run == id.run && id.serial <= last.serial {
+		return false
+	}
+	p.latest[id.sender] = id
+	return true
+}
+
 // answer has the dispatcher answer the letters and sends the answers back.
 func (p *postmaster) answer(ctx context.Context, name string, ask piece, letters []letter) {
 	actx, cancel := context.WithTimeout(ctx, mailPatience/2)
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -214,12 +214,22 @@
 	if leader == "" || leader == n.settings.Node {
 		return Unavailable(req.ID, "no leader yet")
 	}
+	asked := time.Now()
+	var a Answer
 	if n.useMail(leader) {
-		return n.mail.user(ctx, req)
+		// The leader's answer was carried by a transaction that its key guards,
+		// so only what changes from poll to poll can be outdated.
+		if a = n.mail.user(ctx, req); req.Op != OpPoll {
+			return a
+		}
+	} else {
+		var err error
+		if a, err = n.deps.Peers.Forward(ctx, leader, req); err != nil {
+			return Unavailable(req.ID, "leader out of reach")
+		}
 	}
-	a, err := n.deps.Peers.Forward(ctx, leader, req)
-	if err != nil {
-		return Unavailable(req.ID, "leader out of reach")
+	if a.Holds > 0 && !a.final() && time.Since(asked) > scale(a.Holds, 1/driftBound) {
+		return Unavailable(req.ID, "the leader's answer came late")
 	}
 	return a
 }
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"sagevale/internal/storage"
 )
 
 // ordersFor makes the orders that go with the answer to a report.
@@ -30,7 +32,7 @@
 		case a.stop && !a.seen && a.beatSeq != 0 && r.Seq > a.beatSeq && a.direct != directInFlight && r.Token == d.term:
 			d.free(a, "its start was not executed")
 		case a.stop:
-		case !a.seen && a.durable && d.certain(now) && !m.returning:
+		case !a.seen && a.durable && a.job.phase == storage.Open && d.certain(now) && !m.returning:
 			a.orderedIn(r)
 			out = append(out, Order{Verb: Start, ID: a.id(), Try: a.try})
 		}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -176,7 +176,9 @@
 		}
 		a.durable = true
 		m := a.on
-		if a.stop || m.returning || a.session != m.session || a.sent() {
+		// Its cancel may be on its way to being durable, and the order would
+		// come after a user was told.
+		if a.job.phase != storage.Open || a.stop || m.returning || a.session != m.session || a.sent() {
 			continue
 		}
 		orders[m] = append(orders[m], Order{Verb: Start, ID: a.id(), Try: a.try})
@@ -275,6 +277,10 @@
 	return s.free.CPUs / s.typ.Room.CPUs
 }
 
+// pauseLeases is the longest that a machine in trouble is left alone, in leases:
+// beyond that, work would wait for long beside its room.
+const pauseLeases = 2
+
 // failed weighs a task's failure between its job and its machine: a job that
 // fails on several machines waits longer each time and leaves them alone; a
 // machine on which several jobs fail is left alone for a while.
@@ -286,7 +292,7 @@
 		d.log.Info("job fails on several machines", "job", j.spec.ID, "failures", j.failures)
 	}
 	if m.failures >= faulty {
-		pause := scale(d.settings.Lease, float64(int(1)<<min(m.failures-faulty, 3)))
+		pause := scale(d.settings.Lease, float64(min(1+m.failures-faulty, pauseLeases)))
 		m.pauseTill = now.Add(pause)
 		d.log.Info("machine fails several jobs", "machine", m.id, "failures", m.failures, "pause", pause)
 	}
--- a/internal/coordination/ports.go
+++ b/internal/coordination/ports.go
@@ -128,8 +128,20 @@
 	Reason  string
 	RetryS  int
 	Peer    PeerState // the answer to OpPing
+	// Holds is for how long after the leader was asked an answer that isn't final
+	// may be told: until its lead may have ended, for a successor may have told
+	// the user something newer. 0: not said.
+	Holds time.Duration
 }
 
+// final tells whether nothing newer can ever be told.
+func (a *Answer) final() bool {
+	return a.Code == CodeOK && (a.State == StateDone || a.State == StateCancelled)
+}
+
+// decided tells whether the answer says anything of the job.
+func (a *Answer) decided() bool { return a.Code != CodeUnavailable && a.Code != CodeBusy }
+
 // PeerState is what a node tells another of itself.
 type PeerState struct {
 	Up         time.Duration // since its process began
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -48,7 +48,9 @@
 func (d *dispatcher) giveUp(reason string, standBack bool) {
 	d.log.Info("stepping down", "reason", reason)
 	d.resigned = true
-	d.role.Certain, d.role.HoldOut = time.Time{}, time.Time{}
+	r := d.role
+	r.Certain, r.HoldOut = time.Time{}, time.Time{}
+	d.setRole(r)
 	d.lender.now.Store(nil)
 	select {
 	case d.resign <- resignation{d.term, standBack}:
@@ -83,6 +85,9 @@
 		d.place = true
 	}
 	m.lastBeat = now
+	if beat {
+		m.reported = now
+	}
 	if r.Notice != nil && m.noticeAt.IsZero() {
 		m.noticeAt = now.Add(seconds(*r.Notice))
 		d.drain(m, "spot notice")
@@ -108,7 +113,7 @@
 	if m.heard && now.Sub(m.lastBeat) <= d.settings.fresh() {
 		// Its reports came and our answers went nowhere: it is deaf.
 		m.lapses++
-		m.pauseTill = now.Add(scale(d.settings.Lease, float64(m.lapses)))
+		m.pauseTill = now.Add(scale(d.settings.Lease, float64(min(m.lapses, pauseLeases))))
 		d.log.Info("machine lost its session", "machine", m.id, "session", r.Session, "lapses", m.lapses)
 	}
 	for _, a := range m.sortedAttempts() {
--- a/internal/coordination/settings.go
+++ b/internal/coordination/settings.go
@@ -152,6 +152,16 @@
 	return nil
 }
 
+// startWithin is within what time the tasks of a class are to start; 0: not said.
+func (s *Settings) startWithin(class string) time.Duration {
+	for _, o := range s.Objectives {
+		if o.Kind == "wait" && o.Class == class {
+			return o.Within
+		}
+	}
+	return 0
+}
+
 // promptStart is how soon work within a guarantee is to start; 0: not said.
 func (s *Settings) promptStart() time.Duration {
 	for _, o := range s.Objectives {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -29,6 +29,12 @@
 	workers  map[int]*fakeWorker
 	specs    map[string]storage.Spec
 	cancelAt map[string]time.Time // when a user was told so
+	told     map[string]JobState  // the latest that a user was told, running as pending
+	askedOff map[string]bool      // jobs that a user asked to cancel
+	ran      map[TaskID]bool      // tasks that have completed
+	kept     []*Report            // copies of reports, to come again late
+	keeping  bool
+	overrun  map[string]bool // cancelled jobs seen beyond their time
 	starts   int
 	apart    atomic.Pointer[string] // a zone that is cut off from everything
 	over     atomic.Bool            // machines that boot now stay away
@@ -66,6 +72,7 @@
 				CloudRPS: 6, ListLag: 4 * time.Second, MemoryMB: 98, Sockets: 1000,
 			},
 			workers: make(map[int]*fakeWorker), specs: make(map[string]storage.Spec), cancelAt: make(map[string]time.Time),
+			told: make(map[string]JobState), askedOff: make(map[string]bool), ran: make(map[TaskID]bool), overrun: make(map[string]bool),
 			log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		}
 		w.settings.Tuning = w.settings.DefaultTuning()
@@ -77,6 +84,7 @@
 		for _, n := range w.nodes {
 			n.start()
 		}
+		go w.watch()
 		defer func() {
 			for _, n := range w.nodes {
 				n.kill()
@@ -227,14 +235,8 @@
 // ask puts a user's request to the nodes in turn until one decides it.
 func (w *world) ask(op UserOp, id string, spec storage.Spec) Answer {
 	for try := range 120 {
-		n := w.nodes[try%len(w.nodes)]
-		if n.end != nil {
-			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-			a := n.node.User(ctx, UserRequest{Op: op, ID: id, Spec: spec})
-			cancel()
-			if a.Code != CodeUnavailable && a.Code != CodeBusy {
-				return a
-			}
+		if a := w.look(w.nodes[try%len(w.nodes)], op, id, spec); a.decided() {
+			return a
 		}
 		time.Sleep(500 * time.Millisecond)
 	}
@@ -242,6 +244,81 @@
 	return Answer{}
 }
 
+// look puts one request to one node, and checks that the answer is no older
+// than what any node had told before it was asked.
+func (w *world) look(n *fakeNode, op UserOp, id string, spec storage.Spec) Answer {
+	live := n.live.Load()
+	if live == nil {
+		return Unavailable(id, "not running")
+	}
+	var before JobState
+	var known bool
+	w.locked(func() {
+		before, known = w.told[id]
+		w.askedOff[id] = w.askedOff[id] || op == OpCancel
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	a := live.User(ctx, UserRequest{Op: op, ID: id, Spec: spec})
+	cancel()
+	if !a.decided() {
+		return a
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if a.Code == CodeNotFound || a.Code == CodeUnfit {
+		if known {
+			w.t.Errorf("forgotten: job %s, told %v, is answered %+v by %s", id, before, a, n.name)
+		}
+		return a
+	}
+	now := StatePending
+	if a.final() {
+		now = a.State
+	}
+	if known && before != StatePending && now != before {
+		w.t.Errorf("went_back: job %s from %v to %+v, by %s", id, before, a, n.name)
+	}
+	switch {
+	case now == StateCancelled && !w.askedOff[id]:
+		w.t.Errorf("went_back: nobody cancelled job %s", id)
+	case now == StateCancelled && w.cancelAt[id].IsZero():
+		w.cancelAt[id] = time.Now()
+	case now == StateDone:
+		for i := range w.specs[id].Tasks {
+			if !w.ran[TaskID{id, i}] {
+				w.t.Errorf("not_done: job %s without task %d", id, i)
+			}
+		}
+	}
+	if w.told[id] == StatePending {
+		w.told[id] = now
+	}
+	return a
+}
+
+// watch looks out for tasks that outlive their job's cancel.
+func (w *world) watch() {
+	for !w.over.Load() {
+		time.Sleep(250 * time.Millisecond)
+		w.locked(func() {
+			for _, wk := range w.workers {
+				if wk.dead.Load() || wk.still.Load() {
+					continue // one that stands still runs nothing, unless it goes on
+				}
+				wk.settle()
+				for k, t := range wk.tasks {
+					job := k.ID.Job
+					at, ok := w.cancelAt[job]
+					if ok && t.state != Ended && time.Since(at) > w.settings.Cancel && !w.overrun[job] {
+						w.overrun[job] = true
+						w.t.Errorf("ran_cancelled: %v is on %d %v after", k.ID, wk.id, time.Since(at))
+					}
+				}
+			}
+		})
+	}
+}
+
 // upload makes a job's description known to the workers.
 func (w *world) upload(spec storage.Spec) {
 	w.mu.Lock()
@@ -303,9 +380,6 @@
 	if a := w.ask(OpCancel, id, storage.Spec{}); a.Code != CodeOK || a.State != StateCancelled {
 		w.t.Fatalf("job %s not cancelled: %+v", id, a)
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.cancelAt[id] = time.Now()
 }
 
 func (w *world) poll(id string) Answer { return w.ask(OpPoll, id, storage.Spec{}) }
@@ -361,6 +435,7 @@
 	deaf    atomic.Bool              // its reports pass, answers and orders don't
 	mute    atomic.Bool              // orders pass, its reports don't
 	hang    atomic.Bool              // orders reach it only later: see late
+	still   atomic.Bool              // it stands still, and may go on at any time
 	sick    atomic.Bool              // every task fails
 	notice  *float64
 	session uint64
@@ -428,18 +503,22 @@
 
 // settle ends what has run long enough, and everything with the lease.
 func (wk *fakeWorker) settle() {
+	if wk.still.Load() {
+		return
+	}
 	now := time.Now()
 	if now.Sub(wk.leased) > wk.w.settings.Lease {
 		clear(wk.tasks)
 		wk.session++
 		wk.seq, wk.leased = 0, now
 	}
-	for _, t := range wk.tasks {
+	for k, t := range wk.tasks {
 		if t.state == Running && !t.ends.IsZero() && now.After(t.ends) {
 			t.state, t.cause = Ended, CauseDone
 			if wk.sick.Load() {
 				t.cause = CauseError
 			}
+			wk.w.ran[k.ID] = wk.w.ran[k.ID] || t.cause == CauseDone
 		}
 	}
 }
@@ -447,7 +526,7 @@
 func (wk *fakeWorker) run() {
 	for !wk.dead.Load() {
 		pause := wk.w.settings.Report
-		if !wk.cut.Load() && !wk.mute.Load() {
+		if !wk.cut.Load() && !wk.mute.Load() && !wk.still.Load() {
 			pause = wk.beat()
 		}
 		time.Sleep(pause)
@@ -459,6 +538,11 @@
 	n := wk.w.nodes[wk.node%len(wk.w.nodes)]
 	r := wk.report()
 	sent := time.Now()
+	wk.w.locked(func() {
+		if wk.w.keeping {
+			wk.w.kept = append(wk.w.kept, r)
+		}
+	})
 	live := n.live.Load()
 	if live == nil || !n.reaches(wk) {
 		wk.node++
@@ -473,7 +557,7 @@
 	wk.w.mu.Lock()
 	defer wk.w.mu.Unlock()
 	switch {
-	case wk.deaf.Load() || wk.cut.Load() || wk.dead.Load() || !n.reaches(wk):
+	case wk.deaf.Load() || wk.cut.Load() || wk.dead.Load() || wk.still.Load() || !n.reaches(wk):
 	case !a.Accepted:
 		for i, o := range wk.w.nodes {
 			if o.name == a.Leader && o != n {
@@ -573,7 +657,7 @@
 	n.w.mu.Lock()
 	wk := n.w.workers[id]
 	lost := wk == nil || wk.dead.Load() || wk.cut.Load() || wk.deaf.Load() || !n.reaches(wk)
-	if !lost && wk.hang.Load() {
+	if !lost && (wk.hang.Load() || wk.still.Load()) {
 		wk.late = append(wk.late, lateOrders{token, session, orders})
 	}
 	n.w.mu.Unlock()
@@ -581,7 +665,7 @@
 	case lost:
 		<-ctx.Done()
 		return NotSent, nil
-	case wk.hang.Load():
+	case wk.hang.Load(), wk.still.Load():
 		<-ctx.Done()
 		return Unresolved, nil
 	}
--- a/internal/storage/storagetest/service.go
+++ b/internal/storage/storagetest/service.go
@@ -36,6 +36,18 @@
 	Sent []Txn // every transaction that arrived
 	// LoseAnswers makes so many transactions be executed without an answer.
 	LoseAnswers int
+	// Late, if set, tells for each transaction after how long it is carried out;
+	// one for which that isn't 0 gets no answer.
+	Late func() time.Duration
+	// Slow is added to the time that each request takes.
+	Slow time.Duration
+}
+
+// Trouble changes how the store serves, under its lock.
+func (s *Service) Trouble(f func(s *Service)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
 }
 
 // NewService returns an empty store.
@@ -156,7 +168,7 @@
 	select {
 	case <-ctx.Done():
 		return fmt.Errorf("%w: %w", storage.ErrUnknown, ctx.Err())
-	case <-time.After(2 * time.Millisecond):
+	case <-time.After(2*time.Millisecond + c.slow()):
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -167,6 +179,12 @@
 	return nil
 }
 
+func (s *Service) slow() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Slow
+}
+
 // Get reads one key.
 func (c *Client) Get(ctx context.Context, key string) (storage.Item, error) {
 	if err := c.enter(ctx); err != nil {
@@ -225,7 +243,19 @@
 	if lose {
 		c.LoseAnswers--
 	}
+	var late time.Duration
+	if c.Late != nil {
+		late = c.Late()
+	}
 	c.mu.Unlock()
+	if late > 0 {
+		time.AfterFunc(late, func() { _, _ = c.Apply(guards, ops) })
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Second): // the connection is reset
+		}
+		return 0, storage.ErrUnknown
+	}
 	rev, err := c.Apply(guards, ops)
 	if lose {
 		return 0, storage.ErrUnknown
