--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -15,6 +15,11 @@
 	"sagevale/internal/storage"
 )
 
+// writeShare of the leader's grant is how long the journal waits for an answer
+// before it asks again: answers come within a tenth of that, and asking twice is
+// harmless.
+const writeShare = 0.2
+
 // Deps are the outside parts that a node speaks to.
 type Deps struct {
 	State   storage.StateService
@@ -129,7 +134,7 @@
 	started := time.Now()
 	log := n.deps.Log.With("term", role.Term)
 	limits := n.settings.State
-	limits.Patience = n.lead.callTime()
+	limits.Patience = scale(n.settings.Tuning.LeaderLease, writeShare)
 	journal, err := storage.OpenJournal(ctx, n.deps.State, limits, role.Guard)
 	if err != nil {
 		if ctx.Err() == nil {
--- a/internal/storage/journal.go
+++ b/internal/storage/journal.go
@@ -36,7 +36,10 @@
 	cleanForced = 1
 	// listPatience is how many times the patience for a request a page may take:
 	// it is large, and to be understood.
-	listPatience = 4
+	listPatience = 8
+	// mostPatience is up to how many times the patience a request gets that has
+	// gone unanswered before: the service may be slow.
+	mostPatience = 16
 	// retryPause is how long the journal waits after a refused request.
 	retryPause = 100 * time.Millisecond
 )
@@ -429,8 +432,8 @@
 // the first one's chunk.
 func (j *Journal) settle(ctx context.Context, guards []Guard, ops []Op) (uint64, error) {
 	unsure := false
-	for {
-		tctx, cancel := j.limits.bound(ctx, 1)
+	for times := 1; ; times = min(2*times, mostPatience) {
+		tctx, cancel := j.limits.bound(ctx, times)
 		version, err := j.svc.Txn(tctx, guards, ops)
 		cancel()
 		var conflict *ConflictError
@@ -446,7 +449,7 @@
 			if !unsure {
 				return 0, fmt.Errorf("journal chunk %s: %w (%v)", ops[0].Key, ErrDeposed, conflict.Failed)
 			}
-			gctx, cancel := j.limits.bound(ctx, 1)
+			gctx, cancel := j.limits.bound(ctx, times)
 			item, err := j.svc.Get(gctx, ops[0].Key)
 			cancel()
 			if err == nil {
