--- /dev/null
+++ b/internal/coordination/guards_test.go
@@ -0,0 +1,278 @@
+package coordination
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sagevale/internal/storage"
+	"sagevale/internal/storage/storagetest"
+)
+
+// What guards a meeting, taken alone: the stories show that a meeting is
+// survived, these tests that the guard does its part.
+
+// A successor may have told the user something newer once our lead may have
+// ended: by then an answer on its way is void, unless it is final.
+func TestAnAnswerLastsAsLongAsTheLead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		r := d.role
+		r.Certain = time.Now().Add(time.Second)
+		d.setRole(r)
+		asked := time.Now()
+		running := Answer{Code: CodeOK, ID: "000001", State: StateRunning}
+		if a := d.lasting(running, asked); a.Code != CodeOK || a.Holds != time.Second {
+			t.Errorf("told %+v", a)
+		}
+		time.Sleep(time.Second)
+		if a := d.lasting(running, asked); a.Code != CodeUnavailable || a.RetryS == 0 {
+			t.Errorf("told after the lead may have ended: %+v", a)
+		}
+		if a := d.lasting(Answer{Code: CodeNotFound}, asked); a.Code != CodeUnavailable {
+			t.Errorf("told after the lead may have ended: %+v", a)
+		}
+		if a := d.lasting(Answer{Code: CodeOK, State: StateDone}, asked); a.Code != CodeOK {
+			t.Errorf("a final state isn't told: %+v", a)
+		}
+	})
+}
+
+func TestAHeldUpAnswerIsNotPassedOn(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.submit(service("000001", 1))
+		w.submit(service("000002", 1))
+		w.cancel("000002")
+		lead := w.awaitLeader()
+		lead.holdUp.Store(int64(w.settings.Tuning.LeaderLease))
+		for _, n := range w.nodes {
+			if n == lead {
+				continue
+			}
+			if a := w.look(n, OpPoll, "000001", storage.Spec{}); a.Code != CodeUnavailable {
+				t.Errorf("passed on late: %+v", a)
+			}
+			if a := w.look(n, OpPoll, "000002", storage.Spec{}); !a.final() {
+				t.Errorf("a final state isn't passed on: %+v", a)
+			}
+		}
+	})
+}
+
+// A machine whose reports don't come through loses its lease, however well
+// direct commands reach it.
+func TestDirectAnswersAloneDontMakeAMachineReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := grownSettings()
+		d := newDesk(t, s)
+		m := d.up(7, "cpu", "a", false)
+		answer := func() {
+			d.apply(m, &Report{Machine: 7, Addr: "7", Type: "cpu", Zone: "a", Session: 1, Seq: m.seq + 1, Token: d.term}, false, time.Now())
+		}
+		for range 2 * freshIntervals {
+			time.Sleep(s.Report)
+			answer()
+		}
+		if m.ready(time.Now(), s.fresh()) {
+			t.Error("ready without a report")
+		}
+		d.up(7, "cpu", "a", false)
+		if !m.ready(time.Now(), s.fresh()) {
+			t.Error("not ready after a report")
+		}
+	})
+}
+
+// Between a cancel and its commit no start may leave: it would come after the
+// user was told.
+func TestNoStartLeavesOnceACancelIsOnItsWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		j := d.accept(service("000001", 1))
+		m := d.up(7, "cpu", "a", false)
+		a := d.book(j, 0, m, time.Now())
+		j.phase = storage.Cancelled
+		d.start([]*attempt{a})
+		if a.direct != directNone {
+			t.Error("started directly")
+		}
+		a.durable = true
+		for _, o := range d.ordersFor(m, &Report{Machine: 7, Session: 1, Seq: m.seq + 1, Token: d.term}, time.Now()) {
+			if o.Verb == Start {
+				t.Error("started with the answer to a report")
+			}
+		}
+	})
+}
+
+// What a successor finds when a leader ended between the commits of a job's last
+// page and of the job itself.
+func TestAJobWhosePagesAreDoneIsDone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		spec := sweep("000001", 3)
+		records := []storage.Record{record(t, storage.JobKey("000001"), storage.JobRecord{Tasks: 3, Spec: &spec}),
+			record(t, storage.PageKey("000001", 0), storage.PageRecord{Done: []int{0, 2}})}
+		d := newDesk(t, grownSettings())
+		if err := d.load(records); err != nil {
+			t.Fatal(err)
+		}
+		if j := d.jobs["000001"]; j.phase != storage.Done || len(d.dirty) == 0 {
+			t.Errorf("phase %v", j.phase)
+		}
+	})
+}
+
+func record(t *testing.T, key string, data any) storage.Record {
+	t.Helper()
+	r, err := storage.NewRecord(key, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// A letter that is carried out late comes among newer ones of its sender: the
+// newer must not be lost, and nobody waits for the older.
+func TestALateLetterNeitherHidesNorFollowsANewerOne(t *testing.T) {
+	change := func(run, serial uint64, of, i int) storage.Item {
+		data, err := json.Marshal(piece{Run: run, Serial: serial, Of: of})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return storage.Item{Key: mailOps(askPrefix, "n1", make([]json.RawMessage, i+1))[i].Key, Data: data}
+	}
+	got := collect([]storage.Item{change(1, 8, 2, 0), change(1, 8, 2, 1), change(1, 7, 1, 0), change(1, 6, 2, 0)}, askPrefix)
+	if len(got) != 2 || len(got[parcelID{"n1", 1, 8}]) != 2 || len(got[parcelID{"n1", 1, 7}]) != 1 {
+		t.Errorf("collected %v", got)
+	}
+	p := &postmaster{latest: make(map[string]parcelID)}
+	for _, c := range []struct {
+		run, serial uint64
+		news        bool
+	}{{1, 8, true}, {1, 7, false}, {1, 8, false}, {1, 9, true}, {2, 1, true}} {
+		if p.isNews(parcelID{"n1", c.run, c.serial}) != c.news {
+			t.Errorf("batch %d of run %d", c.serial, c.run)
+		}
+	}
+}
+
+// Every path on which a worker's lease can be renewed, as an inequality: the last
+// renewal, a lease on a slow clock after it, and the moment that a worker takes to
+// end its tasks come before cancel_s after the earliest cancel that the renewer
+// can't know of. docs/design.md has the argument.
+func TestEveryRenewalEndsBeforeAnUnknownCancelIsDue(t *testing.T) {
+	for _, s := range []Settings{grownSettings(), {Report: 2 * time.Second, Lease: 12 * time.Second, Cancel: 42 * time.Second},
+		{Report: 5 * time.Second, Lease: 26500 * time.Millisecond, Cancel: 56500 * time.Millisecond}} {
+		s.Peers = []Peer{{Name: "n1", Zone: "a"}}
+		s.Tuning = s.DefaultTuning()
+		// endOf is when a lease renewed then has ended on any worker's clock.
+		endOf := func(renewed time.Time) time.Time { return renewed.Add(scale(s.Lease, 1.0005)) }
+		due := func(confirmed time.Time) time.Time { return confirmed.Add(scale(s.Cancel, 1/1.0005)) }
+		t.Run("the leader's own answers", func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDesk(t, s)
+				certain := time.Now()
+				d.setRole(Role{Leading: true, Term: 2, Certain: certain, HoldOut: certain.Add(s.hold())})
+				last := time.Time{}
+				for seq := uint64(1); time.Since(certain) < 2*s.Cancel; seq++ {
+					r := &Report{Machine: 7, Addr: "7", Type: "cpu", Zone: "a", Session: 1, Seq: seq, Token: 2}
+					if d.handleBeat(r).Accepted {
+						last = time.Now()
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				if last.IsZero() || !endOf(last).Before(due(certain)) {
+					t.Errorf("last renewed %v after the lead may have ended", last.Sub(certain))
+				}
+			})
+		})
+		t.Run("a peer on loan", func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDesk(t, s)
+				certain := time.Now()
+				d.setRole(Role{Leading: true, Term: 2, Certain: certain, HoldOut: certain.Add(s.hold())})
+				c := newCourier(&Node{settings: &s})
+				words := &fakeNode{w: &world{}, words: make(map[string]PeerWord)}
+				c.node.deps.Peers = words
+				for time.Since(certain) < s.Cancel {
+					d.publishLending(time.Now())
+					span, barred := d.lender.lend("n1")
+					words.words["n1"] = PeerWord{PeerState: PeerState{Lends: span, LendTerm: 2, Barred: barred}, Sent: time.Now(), Got: time.Now()}
+					c.borrow()
+					time.Sleep(100 * time.Millisecond)
+				}
+				if c.loan.until.IsZero() || !endOf(c.loan.until).Before(due(certain)) {
+					t.Errorf("lent until %v after the lead may have ended", c.loan.until.Sub(certain))
+				}
+			})
+		})
+		t.Run("prolonged by the peers' word", func(t *testing.T) {
+			// What a peer does after its word it does after we asked for it.
+			asked := time.Now()
+			if !endOf(asked.Add(s.hold())).Before(due(asked)) {
+				t.Error("beyond a cancel that is confirmed right after the word")
+			}
+		})
+	}
+}
+
+// Peers confirm only what they know for their whole life: one that heard the
+// state service after our grant may have ended, or began after that, doesn't.
+func TestOnlyPeersThatCantHaveLedConfirmIt(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		up, since time.Duration
+		confirms  bool
+	}{
+		{"up and without the store since before", 20 * time.Second, 15 * time.Second, true},
+		{"heard the store since: took over, and may have stepped down again", 20 * time.Second, 5 * time.Second, false},
+		{"restarted within a second", 5 * time.Second, 5 * time.Second, false},
+		{"heard it at that very moment", 20 * time.Second, 10 * time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := grownSettings()
+				s.Peers = []Peer{{Name: "n1"}, {Name: "n2"}}
+				l := &leadership{settings: &s, peers: sayings{"n1": {Up: time.Hour, SinceState: time.Hour}, "n2": {Up: c.up, SinceState: c.since}}}
+				if got := l.leaderless(t.Context(), time.Now().Add(-10*time.Second)); got != c.confirms {
+					t.Errorf("confirmed: %v", got)
+				}
+			})
+		})
+	}
+}
+
+// sayings is a peer link whose nodes say always the same of themselves.
+type sayings map[string]PeerState
+
+func (s sayings) Forward(_ context.Context, node string, _ UserRequest) (Answer, error) {
+	return Answer{Peer: s[node]}, nil
+}
+func (s sayings) Beats(context.Context, string, []*Report) ([]BeatAnswer, error) { return nil, nil }
+func (s sayings) Told(node string) (PeerWord, bool)                              { return PeerWord{PeerState: s[node]}, true }
+func (s sayings) Unheard(string) time.Duration                                   { return 0 }
+func (s sayings) Known() (string, uint64)                                        { return "", 0 }
+
+// The journal asks again what stays unanswered, and settles it once.
+func TestAnUnansweredCommitIsAskedAgain(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.awaitLeader()
+		time.Sleep(5 * time.Second)
+		n := 0
+		w.state.Trouble(func(s *storagetest.Service) {
+			s.Late = func() time.Duration {
+				if n++; n == 1 {
+					return time.Hour // never, as far as the story goes
+				}
+				return 0
+			}
+		})
+		began := time.Now()
+		w.submit(service("000001", 1))
+		if took := time.Since(began); took > 2*time.Second || n < 2 {
+			t.Errorf("accepted after %v, with %d transactions", took, n)
+		}
+	})
+}
--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -380,8 +380,10 @@
 	{"a leader without store and peers, with workers and users", func(w *world) {
 		w.submit(service("000001", 2))
 		w.submit(service("000002", 2))
+		w.submit(service("000003", 2)) // the successor must not start it anew while it runs
 		w.runs("000001", 2)
 		w.runs("000002", 2)
+		w.runs("000003", 2)
 		old := w.awaitLeader()
 		for _, wk := range w.all() {
 			wk.only.Store(old)
@@ -406,6 +408,7 @@
 		old.cutState.Store(false)
 		w.cancel("000002")
 		w.gone("000002")
+		w.runs("000003", 2)
 	}},
 	{"all controllers away, beyond the lease", func(w *world) {
 		w.submit(service("000001", 3))
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -51,6 +51,7 @@
 	cutState atomic.Bool
 	cutPeers atomic.Bool
 	cutWork  atomic.Bool         // it doesn't reach the workers, nor they it
+	holdUp   atomic.Int64        // its answers to other nodes' users come so much later
 	words    map[string]PeerWord // what the others told last
 }
 
@@ -139,7 +140,11 @@
 func (n *fakeNode) Forward(ctx context.Context, name string, req UserRequest) (Answer, error) {
 	for _, o := range n.w.nodes {
 		if live := o.live.Load(); o.name == name && live != nil && !o.cutPeers.Load() && !n.cutPeers.Load() {
-			return live.Local(ctx, req), nil
+			a := live.Local(ctx, req)
+			if req.Op != OpPing {
+				time.Sleep(time.Duration(o.holdUp.Load()))
+			}
+			return a, nil
 		}
 	}
 	return Answer{}, fmt.Errorf("no way to %s", name)
