--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -224,19 +224,21 @@
 	for _, c := range []struct {
 		name      string
 		up, since time.Duration
+		term      uint64
 		confirms  bool
 	}{
-		{"up and without the store since before", 20 * time.Second, 15 * time.Second, true},
-		{"heard the store since: took over, and may have stepped down again", 20 * time.Second, 5 * time.Second, false},
-		{"restarted within a second", 5 * time.Second, 5 * time.Second, false},
-		{"heard it at that very moment", 20 * time.Second, 10 * time.Second, false},
+		{"up and without the store since before", 20 * time.Second, 15 * time.Second, 2, true},
+		{"heard the store since: took over, and may have stepped down again", 20 * time.Second, 5 * time.Second, 0, false},
+		{"restarted within a second", 5 * time.Second, 5 * time.Second, 0, false},
+		{"heard it at that very moment", 20 * time.Second, 10 * time.Second, 0, false},
+		{"leads a later term, whatever else it says", 20 * time.Second, 15 * time.Second, 3, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := grownSettings()
 				s.Peers = []Peer{{Name: "n1"}, {Name: "n2"}}
-				l := &leadership{settings: &s, peers: sayings{"n1": {Up: time.Hour, SinceState: time.Hour}, "n2": {Up: c.up, SinceState: c.since}}}
-				if got := l.leaderless(t.Context(), time.Now().Add(-10*time.Second)); got != c.confirms {
+				l := &leadership{settings: &s, peers: sayings{"n1": {Up: time.Hour, SinceState: time.Hour}, "n2": {Up: c.up, SinceState: c.since, Term: c.term}}}
+				if got := l.leaderless(t.Context(), 2, time.Now().Add(-10*time.Second)); got != c.confirms {
 					t.Errorf("confirmed: %v", got)
 				}
 			})
@@ -276,3 +278,52 @@
 		}
 	})
 }
+
+// A machine that has tasks of a cancelled job is left out of a loan.
+func TestABarredMachineIsNotRenewedAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := grownSettings()
+		s.Zone = "a"
+		c := newCourier(&Node{settings: &s})
+		c.loan = loan{term: 2, until: time.Now().Add(time.Minute), barred: []int{7}}
+		for machine, renewed := range map[int]bool{7: false, 8: true} {
+			c.workers[machine] = &caller{session: 1, seq: 1, answered: time.Now()}
+			r := &Report{Machine: machine, Zone: "a", Session: 1, Seq: 2, Token: 2}
+			p := parcel{report: r, digest: c.workers[machine].digest}
+			if a := c.decideAlone(p, time.Now()); a.Accepted != renewed {
+				t.Errorf("machine %d: %+v", machine, a)
+			}
+		}
+	})
+}
+
+// Neither a start nor a forget may come before what it rests on is durable: a
+// successor would start the task a second time, or miss that it is done.
+func TestOrdersWaitForWhatTheyRestOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		j := d.accept(sweep("000001", 1))
+		m := d.up(7, "cpu", "a", false)
+		a := d.book(j, 0, m, time.Now())
+		orders := func() []Order {
+			return d.ordersFor(m, &Report{Machine: 7, Session: 1, Seq: m.seq + 1, Token: d.term}, time.Now())
+		}
+		if o := orders(); len(o) != 0 {
+			t.Errorf("ordered %+v before the booking is durable", o)
+		}
+		a.durable = true
+		clear(d.dirty)
+		if o := orders(); len(o) != 1 || o[0].Verb != Start {
+			t.Errorf("ordered %+v", o)
+		}
+		d.apply(m, &Report{Machine: 7, Addr: "7", Type: "cpu", Zone: "a", Session: 1, Seq: m.seq + 1, Token: d.term,
+			Tasks: []TaskReport{{ID: a.id(), Try: a.try, State: Ended, Cause: CauseDone}}}, true, time.Now())
+		if o := orders(); len(o) != 0 {
+			t.Errorf("ordered %+v before the end is durable", o)
+		}
+		clear(d.dirty)
+		if o := orders(); len(o) != 1 || o[0].Verb != Forget {
+			t.Errorf("ordered %+v", o)
+		}
+	})
+}
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -72,7 +72,7 @@
 // cut, the earliest end of our own grant: each has been up since before it and
 // hasn't heard the state service after it. A peer that has restarted can't
 // know what it did before, so it can't confirm.
-func (l *leadership) leaderless(ctx context.Context, cut time.Time) bool {
+func (l *leadership) leaderless(ctx context.Context, term uint64, cut time.Time) bool {
 	ctx, cancel := context.WithTimeout(ctx, l.callTime())
 	defer cancel()
 	answers := make(chan bool, len(l.settings.Peers))
@@ -80,7 +80,7 @@
 		go func() {
 			a, err := l.peers.Forward(ctx, p.Name, UserRequest{Op: OpPing})
 			since := scale(time.Since(cut), driftBound)
-			answers <- err == nil && a.Peer.Up > since && a.Peer.SinceState > since
+			answers <- err == nil && a.Peer.Term <= term && a.Peer.Up > since && a.Peer.SinceState > since
 		}()
 	}
 	for range l.settings.Peers {
@@ -215,6 +215,8 @@
 		}
 		return fmt.Errorf("take the lead: %w", err)
 	}
+	// Peers are told that we may have led, whatever comes of this lead.
+	l.hear()
 	l.log.Info("took the lead", "term", term)
 	l.lead(ctx, lease, term, storage.Guard{Key: leadKey, Version: version}, sent)
 	return nil
@@ -274,7 +276,7 @@
 			reason = "a peer knows a later leader"
 			break
 		}
-		if at := time.Now(); at.After(role().Certain) && l.leaderless(ctx, role().Certain) {
+		if at := time.Now(); at.After(role().Certain) && l.leaderless(ctx, term, role().Certain) {
 			confirmed = at
 			l.tell(role())
 		}
--- a/internal/coordination/stories_test.go
+++ b/internal/coordination/stories_test.go
@@ -260,11 +260,12 @@
 	inWorld(t, func(w *world) {
 		lead := w.awaitLeader()
 		time.Sleep(10 * time.Second)
+		term := lead.node.view.Load().role.Term
 		cut := time.Now()
 		lead.cutState.Store(true)
 		w.state.Outage(true)
 		time.Sleep(10 * time.Second)
-		if !lead.node.lead.leaderless(context.Background(), cut) {
+		if !lead.node.lead.leaderless(context.Background(), term, cut) {
 			t.Error("peers that heard nothing since don't confirm")
 		}
 		for _, n := range w.nodes {
@@ -274,7 +275,7 @@
 			}
 		}
 		time.Sleep(3 * time.Second)
-		if lead.node.lead.leaderless(context.Background(), cut) {
+		if lead.node.lead.leaderless(context.Background(), term, cut) {
 			t.Error("a restarted peer confirms what it can't know")
 		}
 	})
