--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -327,3 +328,96 @@
 		}
 	})
 }
+
+// Nothing is told before it is durable: a successor would not know of it.
+func TestNothingIsToldBeforeItIsDurable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		tell := func(op UserOp, spec storage.Spec) (Answer, bool) {
+			reply := make(chan Answer, 1)
+			d.handleUser(userMsg{UserRequest{Op: op, ID: spec.ID, Spec: spec}, reply})
+			select {
+			case a := <-reply:
+				return a, true
+			default:
+				return Answer{}, false
+			}
+		}
+		commit := func(err error) {
+			clear(d.dirty)
+			d.inCommit, d.committed = d.committed, nil
+			d.handleCommitted(err)
+		}
+		a, b := sweep("000001", 1), sweep("000002", 1)
+		if got, told := tell(OpSubmit, a); told {
+			t.Errorf("accepted before it is durable: %+v", got)
+		}
+		if got, _ := tell(OpPoll, a); got.Code != CodeUnavailable {
+			t.Errorf("told before it is durable: %+v", got)
+		}
+		tell(OpSubmit, b)
+		commit(nil)
+		if got, _ := tell(OpPoll, a); got.Code != CodeOK {
+			t.Errorf("not told: %+v", got)
+		}
+		if got, told := tell(OpCancel, a); told {
+			t.Errorf("cancelled before it is durable: %+v", got)
+		}
+		if got, _ := tell(OpPoll, a); got.final() {
+			t.Errorf("cancelled before it is durable: %+v", got)
+		}
+		j := d.jobs[b.ID]
+		j.setTask(0, taskDone)
+		d.finish(j)
+		if got, _ := tell(OpPoll, b); got.final() {
+			t.Errorf("done before it is durable: %+v", got)
+		}
+		commit(nil)
+		for _, spec := range []storage.Spec{a, b} {
+			if got, _ := tell(OpPoll, spec); !got.final() {
+				t.Errorf("not told: %+v", got)
+			}
+		}
+		// A cancel of a done job tells that it is done; a repeat, what it is.
+		if got, _ := tell(OpCancel, b); got.Code != CodeOK || got.State != StateDone {
+			t.Errorf("a done job's cancel is answered %+v", got)
+		}
+		if got, _ := tell(OpSubmit, a); got.Code != CodeOK || got.State != StateCancelled {
+			t.Errorf("a cancelled job's repeat is answered %+v", got)
+		}
+	})
+}
+
+// Work must not wait long beside a machine's room, whatever it did in trouble.
+func TestAMachineInTroubleIsTriedAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := grownSettings()
+		d := newDesk(t, s)
+		m := d.up(7, "cpu", "a", false)
+		for i := range 12 {
+			m.failures++
+			d.failed(d.accept(sweep(fmt.Sprintf("%06d", i+1), 1)), m, time.Now())
+			d.sessionEnded(m, &Report{Machine: 7, Session: uint64(i + 2)}, time.Now())
+			if pause := time.Until(m.pauseTill); pause > 2*s.Lease {
+				t.Fatalf("left alone for %v", pause)
+			}
+		}
+	})
+}
+
+// A session that is first heard of directly has its own lease, whenever the one
+// before was last answered. The story of it no longer places work there, since
+// such a machine isn't ready; the bound must hold all the same.
+func TestTheBoundOfANewSessionCountsFromItsFirstWord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := grownSettings()
+		d := newDesk(t, s)
+		m := d.up(7, "cpu", "a", false)
+		time.Sleep(s.Lease)
+		heard := time.Now()
+		d.apply(m, &Report{Machine: 7, Addr: "7", Type: "cpu", Zone: "a", Session: 2, Seq: 1, Token: d.term}, false, heard)
+		if by := d.emptyBy(m); by.Before(heard.Add(s.Lease)) {
+			t.Errorf("called empty %v after the session's first word", by.Sub(heard))
+		}
+	})
+}
