Lowered limits of the state service are taken up on the first sign; large records in parts

state.next in the settings holds the limits that will be. A 400 takes up sizes and rates, a 429 rates. The commit in hand is cut again; a record over the limit is written in parts, which the version in production can't read, so only after a whole one was refused, and that says that no such version is left. Old chunks that are larger than a transaction now takes are moved a part at a time.

--- /dev/null
+++ b/internal/coordination/freeze_test.go
@@ -0,0 +1,80 @@
+//go:build freeze
+
+package coordination
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sagevale/internal/storage"
+	"sagevale/internal/storage/storagetest"
+)
+
+// TestFreeze writes what this version leaves in the state service, and a batch of
+// its mail, to the folder that FREEZE names: see testdata/production/README.md.
+func TestFreeze(t *testing.T) {
+	dir := os.Getenv("FREEZE")
+	write := func(name string, v any) {
+		raw, err := json.MarshalIndent(v, "", " ")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(dir+"/"+name, append(raw, '\n'), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	inWorld(t, func(w *world) {
+		sw := sweep("000001", 70)
+		sw.EstimateS, sw.Spot, sw.DeadlineS, sw.CheckpointS, sw.SaveS = 30, true, 900, 10, 2
+		w.submit(sw)
+		sv := service("000002", 3)
+		sv.Spread, sv.Types = true, []string{"cpu"}
+		w.submit(sv)
+		w.submit(sweep("000003", 2))
+		w.submit(service("000004", 2))
+		g := sweep("000005", 3)
+		g.Gang, g.SameZone, g.EstimateS = true, true, 600
+		w.submit(g)
+		w.eventually("done", 5*time.Minute, func() bool { return w.poll("000003").State == StateDone })
+		w.cancel("000004")
+		w.eventually("partly done", 5*time.Minute, func() bool { return w.poll("000001").Done > 20 })
+		for _, n := range w.nodes {
+			n.kill()
+		}
+		time.Sleep(time.Second)
+		c := &storagetest.Client{Service: w.state, Cut: new(atomic.Bool)}
+		var items []storage.Item
+		for _, prefix := range []string{"log/", "term", "lead"} {
+			got, _, _, err := c.List(context.Background(), prefix, "", 1000)
+			if err != nil {
+				t.Fatal(err)
+			}
+			items = append(items, got...)
+		}
+		write("store.json", items)
+	})
+	notice := 12.5
+	letters := []letter{
+		{User: &UserRequest{Op: OpSubmit, ID: "000007", Spec: sweep("000007", 2)}},
+		{User: &UserRequest{Op: OpCancel, ID: "000008"}},
+		{Report: &Report{Machine: 7, Addr: "10.0.0.7:9000", Type: "cpu", Zone: "a", Session: 3, Seq: 9, Token: 4, Notice: &notice,
+			Tasks: []TaskReport{{ID: TaskID{"000001", 1}, Try: 5, State: Ended, Cause: CausePeers, Saved: true}, {ID: TaskID{"000001", 2}, Try: 6, State: Gathering}}}},
+	}
+	ask, err := encodePieces(letters, 11, 12, storage.Limits{ValueBytes: 8192, TxnOps: 32})
+	if err != nil {
+		t.Fatal(err)
+	}
+	write("letters.json", ask)
+	done := Answer{Code: CodeOK, ID: "000008", State: StateCancelled, Done: 1}
+	replies := []mailReply{{Done: true, User: &Answer{Code: CodeCreated, ID: "000007", Holds: time.Second}}, {Done: true, User: &done},
+		{Done: true, Beat: &BeatAnswer{Accepted: true, Token: 4, Orders: []Order{{Verb: Stop, ID: TaskID{"000001", 2}, Try: 6, GraceS: 2.5}}}}}
+	got, err := encodePieces(replies, 11, 12, storage.Limits{ValueBytes: 8192, TxnOps: 32})
+	if err != nil {
+		t.Fatal(err)
+	}
+	write("replies.json", got)
+}
--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -22,7 +22,7 @@
 	svc := storagetest.NewService()
 	tb.Cleanup(svc.Close)
 	client := &storagetest.Client{Service: svc, Cut: new(atomic.Bool)}
-	journal, err := storage.OpenJournal(context.Background(), client, s.State, storage.Guard{Key: leadKey})
+	journal, err := storage.OpenJournal(context.Background(), client, storage.NewCeiling(s.State), storage.Guard{Key: leadKey})
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/internal/coordination/mail.go
+++ b/internal/coordination/mail.go
@@ -63,7 +63,7 @@
 
 // encodePieces compresses a batch into values under the limit, or returns nil
 // if it takes too many.
-func encodePieces(batch any, run, serial uint64, valueBytes int) ([]json.RawMessage, error) {
+func encodePieces(batch any, run, serial uint64, limits storage.Limits) ([]json.RawMessage, error) {
 	var buf bytes.Buffer
 	z, err := flate.NewWriter(&buf, flate.BestSpeed)
 	if err != nil {
@@ -76,9 +76,9 @@
 		return nil, fmt.Errorf("compress mail: %w", err)
 	}
 	raw := buf.Bytes()
-	room := valueBytes*2/3 - 64 // base64 takes a third more
+	room := limits.ValueBytes*2/3 - 64 // base64 takes a third more
 	n := (len(raw) + room - 1) / room
-	if n > mailPieces {
+	if n > min(mailPieces, limits.TxnOps) {
 		return nil, nil
 	}
 	var out []json.RawMessage
@@ -151,6 +151,7 @@
 	run1     uint64 // this process's own mark on its batches
 	serial   uint64
 	limiter  *rate.Limiter
+	ceiling  *storage.Ceiling
 	taken    moment // when the state service last took a batch
 }
 
@@ -160,9 +161,9 @@
 	reply chan mailReply
 }
 
-func newMailer(s *Settings, deps Deps) *mailer {
+func newMailer(s *Settings, deps Deps, ceiling *storage.Ceiling) *mailer {
 	return &mailer{
-		settings: s, svc: deps.State, log: deps.Log, in: make(chan posted, mailQueue), run1: deps.Rand.Uint64(),
+		ceiling: ceiling, settings: s, svc: deps.State, log: deps.Log, in: make(chan posted, mailQueue), run1: deps.Rand.Uint64(),
 		limiter: mailLimiter(s),
 	}
 }
@@ -268,7 +269,7 @@
 			letters = append(letters, p.letter)
 		}
 		var err error
-		if values, err = encodePieces(letters, m.run1, m.serial, m.settings.State.ValueBytes); err != nil {
+		if values, err = encodePieces(letters, m.run1, m.serial, m.ceiling.Limits()); err != nil {
 			m.log.Error("mail not encoded", "err", err)
 		}
 		if values != nil {
@@ -297,6 +298,7 @@
 	}
 	rev, err := m.svc.Txn(ctx, nil, mailOps(askPrefix, m.settings.Node, values))
 	if err != nil {
+		m.ceiling.Learn(err)
 		return nil, err
 	}
 	m.taken.mark(time.Now())
@@ -326,11 +328,12 @@
 	guard    storage.Guard
 	desk     *dispatcher
 	limiter  *rate.Limiter
+	ceiling  *storage.Ceiling
 	latest   map[string]parcelID // by sender
 }
 
-func newPostmaster(s *Settings, deps Deps, guard storage.Guard, desk *dispatcher) *postmaster {
-	return &postmaster{settings: s, svc: deps.State, log: deps.Log, guard: guard, desk: desk, limiter: mailLimiter(s), latest: make(map[string]parcelID)}
+func newPostmaster(s *Settings, deps Deps, ceiling *storage.Ceiling, guard storage.Guard, desk *dispatcher) *postmaster {
+	return &postmaster{ceiling: ceiling, settings: s, svc: deps.State, log: deps.Log, guard: guard, desk: desk, limiter: mailLimiter(s), latest: make(map[string]parcelID)}
 }
 
 func (p *postmaster) run(ctx context.Context) {
@@ -406,7 +409,7 @@
 		a := <-answers
 		replies[a.i] = a.r
 	}
-	values, err := encodePieces(replies, ask.Run, ask.Serial, p.settings.State.ValueBytes)
+	values, err := encodePieces(replies, ask.Run, ask.Serial, p.ceiling.Limits())
 	if err != nil || values == nil {
 		p.log.Error("mail not answered", "to", name, "letters", len(letters), "err", err)
 		return
@@ -415,6 +418,7 @@
 		return
 	}
 	if _, err := p.svc.Txn(actx, []storage.Guard{p.guard}, mailOps(answerPrefix, name, values)); err != nil {
+		p.ceiling.Learn(err)
 		p.log.Debug("mail not answered", "to", name, "err", err)
 		return
 	}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -41,6 +41,7 @@
 	lead     *leadership
 	mail     *mailer
 	courier  *courier
+	ceiling  *storage.Ceiling
 	roles    chan Role
 	view     atomic.Pointer[view] // published by the node's own goroutine
 }
@@ -53,13 +54,15 @@
 
 // NewNode makes a node; Run starts it.
 func NewNode(s *Settings, deps Deps) *Node {
-	n := &Node{settings: s, deps: deps, roles: make(chan Role, 16)}
+	limits := s.State
+	limits.Patience = scale(s.Tuning.LeaderLease, writeShare)
+	n := &Node{settings: s, deps: deps, ceiling: storage.NewCeiling(limits), roles: make(chan Role, 16)}
 	n.lead = &leadership{
 		svc: deps.State, settings: s, log: deps.Log,
 		run:    fmt.Sprintf("%016x", deps.Rand.Uint64()),
 		resign: make(chan resignation, 4), peers: deps.Peers, began: time.Now(),
 	}
-	n.mail = newMailer(s, deps)
+	n.mail = newMailer(s, deps, n.ceiling)
 	n.courier = newCourier(n)
 	n.view.Store(&view{})
 	return n
@@ -133,9 +136,7 @@
 func (n *Node) term(ctx context.Context, role Role, loaded chan<- *dispatcher) {
 	started := time.Now()
 	log := n.deps.Log.With("term", role.Term)
-	limits := n.settings.State
-	limits.Patience = scale(n.settings.Tuning.LeaderLease, writeShare)
-	journal, err := storage.OpenJournal(ctx, n.deps.State, limits, role.Guard)
+	journal, err := storage.OpenJournal(ctx, n.deps.State, n.ceiling, role.Guard)
 	if err != nil {
 		if ctx.Err() == nil {
 			log.Error("state not loaded", "err", err)
@@ -158,7 +159,7 @@
 	g.Go(func() error { return journal.Run(gctx) })
 	g.Go(func() error { return d.run(gctx) })
 	g.Go(func() error { return c.run(gctx) })
-	g.Go(func() error { newPostmaster(n.settings, n.deps, role.Guard, d).run(gctx); return nil })
+	g.Go(func() error { newPostmaster(n.settings, n.deps, n.ceiling, role.Guard, d).run(gctx); return nil })
 	select {
 	case loaded <- d:
 	case <-ctx.Done():
--- a/internal/coordination/settings.go
+++ b/internal/coordination/settings.go
@@ -44,6 +44,8 @@
 	Objectives         []Objective
 	Report             time.Duration // a worker's report interval
 	Lease              time.Duration // a worker's lease
+	GangWait           time.Duration // how long a gang's tasks wait for each other; 0: not said
+	GangPeer           time.Duration // how soon they notice that one is gone, or must all be told to stop
 	Cancel             time.Duration // how long a cancelled job's tasks may stay
 	State              storage.Limits
 	CloudRPS           float64
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -53,15 +53,23 @@
 			Times   float64 `toml:"times"`
 		} `toml:"objectives"`
 		Workers struct {
-			ReportS float64 `toml:"report_s"`
-			LeaseS  float64 `toml:"lease_s"`
-			CancelS float64 `toml:"cancel_s"`
+			ReportS   float64 `toml:"report_s"`
+			LeaseS    float64 `toml:"lease_s"`
+			GangWaitS float64 `toml:"gang_wait_s"`
+			GangPeerS float64 `toml:"gang_peer_s"`
+			CancelS   float64 `toml:"cancel_s"`
 		} `toml:"workers"`
 		State struct {
 			RPS      float64 `toml:"rps"`
 			WriteRPS float64 `toml:"write_rps"`
 			ValueKB  float64 `toml:"value_kb"`
 			TxnOps   int     `toml:"txn_ops"`
+			Next     *struct {
+				RPS      float64 `toml:"rps"`
+				WriteRPS float64 `toml:"write_rps"`
+				ValueKB  float64 `toml:"value_kb"`
+				TxnOps   int     `toml:"txn_ops"`
+			} `toml:"next"`
 		} `toml:"state"`
 		Cloud struct {
 			RPS      float64 `toml:"rps"`
@@ -150,6 +158,8 @@
 		Report:     c.duration("params.workers.report_s", f.Params.Workers.ReportS, 0.01),
 		Lease:      c.duration("params.workers.lease_s", f.Params.Workers.LeaseS, 0.01),
 		Cancel:     c.duration("params.workers.cancel_s", f.Params.Workers.CancelS, 0.01),
+		GangWait:   c.duration("params.workers.gang_wait_s", f.Params.Workers.GangWaitS, 0),
+		GangPeer:   c.duration("params.workers.gang_peer_s", f.Params.Workers.GangPeerS, 0),
 		CloudRPS:   c.amount("params.cloud.rps", f.Params.Cloud.RPS, 0.01),
 		ListLag:    c.duration("params.cloud.list_lag_s", f.Params.Cloud.ListLagS, 0),
 		CPUShare:   c.amount("params.quota.cpu_share", f.Params.Quota.CPUShare, 0.0001),
@@ -162,6 +172,14 @@
 			TxnOps:       c.count("params.state.txn_ops", f.Params.State.TxnOps, 3),
 		},
 	}
+	if next := f.Params.State.Next; next != nil {
+		l := &storage.Limits{
+			RequestsPerS: c.spare("params.state.next.rps", next.RPS, 0.1), ChangesPerS: c.spare("params.state.next.write_rps", next.WriteRPS, 0.1),
+			ValueBytes: int(c.spare("params.state.next.value_kb", next.ValueKB, 1) * 1024),
+			TxnOps:     int(c.spare("params.state.next.txn_ops", float64(next.TxnOps), 3)),
+		}
+		s.State.Next = l
+	}
 	if c.err == nil && s.Lease <= s.Report {
 		c.fail("params.workers.lease_s", "must be longer than report_s")
 	}
@@ -254,6 +272,14 @@
 	err  error
 }
 
+// spare is amount for a figure that may be left out.
+func (c *checker) spare(field string, v, least float64) float64 {
+	if v == 0 {
+		return 0
+	}
+	return c.amount(field, v, least)
+}
+
 func (c *checker) fail(field, reason string) {
 	if c.err == nil {
 		c.err = &FieldError{c.file, field, reason}
--- /dev/null
+++ b/internal/storage/ceiling.go
@@ -0,0 +1,56 @@
+package storage
+
+import (
+	"errors"
+	"sync/atomic"
+)
+
+// Ceiling is what the state service takes, as far as this process has seen. The
+// service may lower its limits at some moment, without notice, to figures that
+// are known before: they are taken up on the first sign. The larger ones serve
+// better while they last.
+type Ceiling struct {
+	next *Limits
+	now  atomic.Pointer[Limits]
+}
+
+// NewCeiling starts with the limits as they are said to be now.
+func NewCeiling(l Limits) *Ceiling {
+	c := &Ceiling{next: l.Next}
+	c.now.Store(&l)
+	return c
+}
+
+// Limits are those to keep to.
+func (c *Ceiling) Limits() Limits { return *c.now.Load() }
+
+// Learn takes up the lower limits if a refusal is a sign of them: a request that
+// is called malformed has grown too large, and one too many came too fast. It
+// tells whether that changes what may be sent.
+func (c *Ceiling) Learn(err error) bool {
+	if c.next == nil {
+		return false
+	}
+	old := c.now.Load()
+	l := *old
+	switch {
+	case errors.Is(err, ErrMalformed):
+		l.ValueBytes, l.TxnOps = lower(l.ValueBytes, c.next.ValueBytes), lower(l.TxnOps, c.next.TxnOps)
+		fallthrough // both fall at the same moment
+	case errors.Is(err, ErrTooMany):
+		l.ChangesPerS, l.RequestsPerS = lower(l.ChangesPerS, c.next.ChangesPerS), lower(l.RequestsPerS, c.next.RequestsPerS)
+	}
+	if l == *old {
+		return false
+	}
+	c.now.Store(&l)
+	return true
+}
+
+// lower returns the smaller limit; 0 says none.
+func lower[T int | float64](now, next T) T {
+	if next > 0 {
+		return min(now, next)
+	}
+	return now
+}
--- /dev/null
+++ b/internal/storage/ceiling_test.go
@@ -0,0 +1,151 @@
+package storage_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"sagevale/internal/storage"
+	"sagevale/internal/storage/storagetest"
+)
+
+// falling are limits that fall at some moment, and with which figures.
+func falling() *storage.Ceiling {
+	l := limits
+	l.Next = &storage.Limits{ChangesPerS: 15, ValueBytes: 2048, TxnOps: 4}
+	return storage.NewCeiling(l)
+}
+
+// big is a record's data of so many bytes, with its number in it.
+func big(i, bytes int) string {
+	return fmt.Sprintf("%d:%s", i, strings.Repeat(`"`, bytes/2)) // a quote takes two bytes
+}
+
+// Limits that fall without notice once ended every term: each new leader began
+// with a value that the service called malformed. What is stored stays readable,
+// is written smaller when it is written again, and the old chunks are cleaned away.
+func TestLimitsMayFallAtAnyMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		svc, guard := lead(t)
+		ceiling := falling()
+		_, write := openUnder(ctx, t, svc, ceiling, guard)
+		const records = 40
+		for i := range records {
+			if err := write(map[string]any{fmt.Sprintf("p%d", i): big(i, 100*(i%8)*(i%8))}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, tx := range svc.Sent {
+			for _, op := range tx.Ops {
+				var pairs [][]json.RawMessage
+				if op.Data != nil && json.Unmarshal(op.Data, &pairs) == nil {
+					for _, p := range pairs {
+						if len(p) > 2 {
+							t.Errorf("in parts before the limits fell: %.60s", op.Data)
+						}
+					}
+				}
+			}
+		}
+		svc.Trouble(func(s *storagetest.Service) { s.ValueBytes, s.TxnOps = 2048, 4 })
+		for round := range 30 {
+			for i := range records {
+				if round == 0 && i%2 == 1 {
+					continue // stays as it was stored
+				}
+				if err := write(map[string]any{fmt.Sprintf("p%d", i): big(i, 100*(i%8)*(i%8)), "f": round}); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if l := ceiling.Limits(); l.ValueBytes != 2048 || l.TxnOps != 4 || l.ChangesPerS != 15 {
+			t.Errorf("limits are %+v", l)
+		}
+		got := reread(ctx, t, svc, guard)
+		for i := range records {
+			if want, _ := json.Marshal(big(i, 100*(i%8)*(i%8))); got[fmt.Sprintf("p%d", i)] != string(want) {
+				t.Errorf("record %d of %d bytes reads back as %d", i, len(want), len(got[fmt.Sprintf("p%d", i)]))
+			}
+		}
+		chunks, _, _, err := svc.List(ctx, "log/", "", 1000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(chunks) > 500 {
+			t.Errorf("%d chunks are left", len(chunks))
+		}
+		for _, c := range chunks {
+			if len(c.Data) > 2048 {
+				t.Errorf("a chunk of %d bytes is left", len(c.Data))
+			}
+		}
+	})
+}
+
+// A leader that ends between the parts of a record leaves the one before in force.
+func TestAnUnfinishedRecordCountsForNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		svc, guard := lead(t)
+		svc.ValueBytes, svc.TxnOps = 2048, 3
+		ceiling := falling()
+		ceiling.Learn(storage.ErrMalformed)
+		_, write := openUnder(ctx, t, svc, ceiling, guard)
+		if err := write(map[string]any{"p1": big(1, 6000)}); err != nil {
+			t.Fatal(err)
+		}
+		n := 0
+		svc.Drop = func(storagetest.Txn) bool { n++; return n > 2 }
+		go func() { _ = write(map[string]any{"p1": big(2, 7000)}) }()
+		synctest.Wait()
+		for range 200 {
+			storage.Sleep(ctx, 100_000_000)
+		}
+		cancel()
+		if n < 3 {
+			t.Fatalf("%d transactions", n)
+		}
+		svc.Drop = nil
+		ctx, cancel = context.WithCancel(context.Background())
+		defer cancel()
+		want, _ := json.Marshal(big(1, 6000))
+		if got := reread(ctx, t, svc, guard); got["p1"] != string(want) {
+			t.Errorf("reads back as %.20s", got["p1"])
+		}
+		_, write = openUnder(ctx, t, svc, ceiling, guard)
+		if err := write(map[string]any{"p1": big(3, 5000)}); err != nil {
+			t.Fatal(err)
+		}
+		want, _ = json.Marshal(big(3, 5000))
+		if got := reread(ctx, t, svc, guard); got["p1"] != string(want) {
+			t.Errorf("reads back as %.20s", got["p1"])
+		}
+	})
+}
+
+func TestTheCeilingFallsOnTheFirstSign(t *testing.T) {
+	c := falling()
+	if c.Learn(storage.ErrRefused) || c.Learn(nil) || c.Learn(storage.ErrUnknown) {
+		t.Error("taken for a sign")
+	}
+	if !c.Learn(fmt.Errorf("status: %w", storage.ErrTooMany)) {
+		t.Error("too many requests are no sign")
+	}
+	if l := c.Limits(); l.ChangesPerS != 15 || l.ValueBytes != 8192 || l.RequestsPerS != 100 {
+		t.Errorf("after too many: %+v", l)
+	}
+	if !c.Learn(storage.ErrMalformed) || c.Learn(storage.ErrMalformed) {
+		t.Error("learnt not once")
+	}
+	if l := c.Limits(); l.ValueBytes != 2048 || l.TxnOps != 4 {
+		t.Errorf("after a malformed one: %+v", l)
+	}
+	if storage.NewCeiling(limits).Learn(storage.ErrMalformed) {
+		t.Error("learnt what isn't known")
+	}
+}
--- a/internal/storage/journal.go
+++ b/internal/storage/journal.go
@@ -31,9 +31,10 @@
 	cleanFactor = 2
 	cleanSlack  = 24
 	// cleanBehind chunks too many are a load that a take-over feels; then each
-	// commit cleans at least cleanForced of them, though that delays the next.
+	// commit takes at least cleanForced changes to clean, though that delays the
+	// next.
 	cleanBehind = 4 * cleanSlack
-	cleanForced = 1
+	cleanForced = 2 // its living records into a new one, and its deletion
 	// listPatience is how many times the patience for a request a page may take:
 	// it is large, and to be understood.
 	listPatience = 8
@@ -67,7 +68,8 @@
 // Journal is the actor that writes records under a leader's term.
 type Journal struct {
 	svc     StateService
-	limits  Limits
+	ceiling *Ceiling
+	limits  Limits // the ceiling's, as of the last commit
 	lead    Guard
 	limiter *rate.Limiter
 	in      chan Batch
@@ -75,16 +77,19 @@
 	entities  map[string]entity
 	liveBytes int
 	chunks    []chunkInfo
+	parts     map[string]*gathered // records of which not all parts are read or written
+	splits    uint64               // records that were written in parts
 	next      uint64
 	last      uint64 // version of chunk next-1, 0 if unknown
 }
 
 // OpenJournal reads all chunks; lead is the leadership key with the version
 // that every write is guarded by.
-func OpenJournal(ctx context.Context, svc StateService, limits Limits, lead Guard) (*Journal, error) {
+func OpenJournal(ctx context.Context, svc StateService, ceiling *Ceiling, lead Guard) (*Journal, error) {
+	limits := ceiling.Limits()
 	j := &Journal{
-		svc: svc, limits: limits, lead: lead,
-		limiter:  rate.NewLimiter(rate.Limit(limits.ChangesPerS*changeShare), max(limits.TxnOps, int(limits.ChangesPerS*changeShare))),
+		svc: svc, ceiling: ceiling, limits: limits, lead: lead, parts: make(map[string]*gathered),
+		limiter:  rate.NewLimiter(limits.pace()),
 		in:       make(chan Batch, 16),
 		entities: make(map[string]entity),
 		next:     1,
@@ -133,16 +138,67 @@
 func (j *Journal) note(seq uint64, records []Record) {
 	info := chunkInfo{seq: seq}
 	for _, r := range records {
+		chunk, data := seq, r.Data
+		if r.part != nil {
+			if r.part.index == 0 {
+				info.keys = append(info.keys, r.Key)
+			}
+			var whole bool
+			if whole, chunk, data = j.gather(seq, r); !whole {
+				continue
+			}
+		} else {
+			info.keys = append(info.keys, r.Key)
+		}
 		if old, ok := j.entities[r.Key]; ok {
 			j.liveBytes -= len(old.data) + len(r.Key)
 		}
-		j.entities[r.Key] = entity{chunk: seq, data: r.Data}
-		j.liveBytes += len(r.Data) + len(r.Key)
-		info.keys = append(info.keys, r.Key)
+		j.entities[r.Key] = entity{chunk: chunk, data: data}
+		j.liveBytes += len(data) + len(r.Key)
 	}
 	j.chunks = append(j.chunks, info)
 }
 
+// pace is the rate and the burst of the journal's changes.
+func (l *Limits) pace() (rate.Limit, int) {
+	return rate.Limit(l.ChangesPerS * changeShare), max(l.TxnOps, int(l.ChangesPerS*changeShare))
+}
+
+// heed takes up what the ceiling has become.
+func (j *Journal) heed() {
+	patience := j.limits.Patience
+	j.limits = j.ceiling.Limits()
+	j.limits.Patience = patience
+	limit, burst := j.limits.pace()
+	j.limiter.SetLimit(limit)
+	j.limiter.SetBurst(burst)
+}
+
+// room is how many bytes of records a chunk holds.
+func (j *Journal) room() int { return int(float64(j.limits.ValueBytes) * valueShare) }
+
+// fitted returns the records with those in parts that are too large for a chunk.
+func (j *Journal) fitted(records []Record) []Record {
+	out := records[:0:0]
+	for _, r := range records {
+		if r.part == nil && r.size()+2 > j.room() {
+			j.splits++
+			out = append(out, split(r, j.room(), j.lead.Version<<20|j.splits&(1<<20-1))...)
+		} else {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// size is what a record takes in a chunk, at the most.
+func (r *Record) size() int {
+	if r.part != nil {
+		return len(r.Key) + partFrame + (len(r.part.piece)+2)/3*4
+	}
+	return len(r.Key) + len(r.Data) + 8
+}
+
 // Records returns the living records in key order.
 func (j *Journal) Records() []Record {
 	out := make([]Record, 0, len(j.entities))
@@ -205,16 +261,26 @@
 		return err
 	}
 	*batches = j.drain(*batches)
-	pending := merge(*batches)
-	for len(pending) > 0 {
+	j.heed()
+	records := merge(*batches)
+	for pending := j.fitted(records); len(pending) > 0; {
 		chunks, rest, err := j.cut(pending)
 		if err != nil {
 			return err
 		}
-		pending = rest
-		if err := j.write(ctx, chunks); err != nil {
+		err = j.write(ctx, chunks)
+		if errors.Is(err, ErrMalformed) && j.ceiling.Learn(err) {
+			// The service's limits have fallen: all of it once more, in smaller
+			// pieces. What was written stands, and the later record wins.
+			slog.Info("the state service takes less", "value_bytes", j.ceiling.Limits().ValueBytes, "txn_ops", j.ceiling.Limits().TxnOps)
+			j.heed()
+			pending = j.fitted(records)
+			continue
+		}
+		if err != nil {
 			return err
 		}
+		pending = rest
 	}
 	return nil
 }
@@ -244,7 +310,7 @@
 
 // cut takes from the records as many chunks as one transaction holds.
 func (j *Journal) cut(records []Record) (chunks []chunk, rest []Record, err error) {
-	limit := int(float64(j.limits.ValueBytes) * valueShare)
+	limit := j.room()
 	total, ops := 0, max(1, j.limits.TxnOps/2)
 	var cur []Record
 	size := 2
@@ -262,7 +328,7 @@
 		return nil
 	}
 	for i, r := range records {
-		n := len(r.Key) + len(r.Data) + 8
+		n := r.size()
 		if size+n > limit && len(cur) > 0 {
 			if err := flush(); err != nil {
 				return nil, nil, err
@@ -322,11 +388,11 @@
 	return nil
 }
 
-// clean adds to the chunks what still lives in the oldest ones and returns
-// how many of those may be deleted with them.
+// clean adds to the chunks what still lives in the oldest ones and returns how
+// many of those may be deleted with them. Of an old chunk that is larger than the
+// budget or the service now allows for, a part is moved at a time.
 func (j *Journal) clean(chunks []chunk) ([]chunk, int) {
-	perChunk := int(float64(j.limits.ValueBytes) * valueShare)
-	need := j.liveBytes/perChunk + 1
+	need := j.liveBytes/j.room() + 1
 	excess := len(j.chunks) - cleanFactor*need - cleanSlack
 	spare := int(j.limiter.Tokens()) / 2
 	if excess > cleanBehind {
@@ -335,75 +401,26 @@
 	if excess <= 0 || spare <= 0 {
 		return chunks, 0
 	}
-	writing := make(map[string]bool)
-	size := 0
-	for _, c := range chunks {
-		size += len(c.data)
-		for _, r := range c.records {
-			writing[r.Key] = true
-		}
-	}
-	most := min(excess, spare, j.limits.TxnOps-len(chunks)-2, len(j.chunks)-1)
-	last := &chunks[len(chunks)-1]
-	records, bytes := last.records, len(last.data)
+	m := j.mover(chunks, spare)
 	n := 0
-	for ; n < most; n++ {
-		var alive []Record
-		add := 0
-		for _, k := range j.chunks[n].keys {
-			e, ok := j.entities[k]
-			if !ok || e.chunk != j.chunks[n].seq || e.data == nil || writing[k] {
-				continue
-			}
-			alive = append(alive, Record{k, e.data})
-			add += len(k) + len(e.data) + 8
-		}
-		if bytes+add > perChunk || size+add > txnBytes {
-			break
-		}
-		for _, r := range alive {
-			writing[r.Key] = true
-		}
-		records = append(records, alive...)
-		bytes += add
-		size += add
+	for most := min(excess, len(j.chunks)-1); n < most && m.moveAll(j.living(n, m.writing)) && m.delete(); n++ {
 	}
-	if n == 0 {
-		return j.cleanFull(chunks, size)
-	}
-	data, err := json.Marshal(records)
+	moved, err := m.encode()
 	if err != nil {
 		return chunks, 0
 	}
-	*last = chunk{records, data}
-	return chunks, n
+	return moved, n
 }
 
-// cleanFull moves an oldest chunk that is too full to join another into a
-// chunk of its own.
-func (j *Journal) cleanFull(chunks []chunk, size int) ([]chunk, int) {
-	var alive []Record
-	for _, k := range j.chunks[0].keys {
-		if e, ok := j.entities[k]; ok && e.chunk == j.chunks[0].seq && e.data != nil && !has(chunks, k) {
-			alive = append(alive, Record{k, e.data})
-		}
-	}
-	data, err := json.Marshal(alive)
-	if err != nil || size+len(data) > txnBytes || len(data) > j.limits.ValueBytes || len(alive) == 0 {
-		return chunks, 0
-	}
-	return append(chunks, chunk{alive, data}), 1
-}
-
-func has(chunks []chunk, key string) bool {
-	for _, c := range chunks {
-		for _, r := range c.records {
-			if r.Key == key {
-				return true
-			}
+// living lists what still lives in the nth oldest chunk and isn't being written.
+func (j *Journal) living(n int, writing map[string]bool) []Record {
+	var out []Record
+	for _, k := range j.chunks[n].keys {
+		if e, ok := j.entities[k]; ok && e.chunk == j.chunks[n].seq && e.data != nil && !writing[k] {
+			out = append(out, Record{Key: k, Data: e.data})
 		}
 	}
-	return false
+	return out
 }
 
 // forget drops the n oldest chunks from the index.
@@ -461,9 +478,15 @@
 		case errors.Is(err, ErrRefused):
 		case errors.Is(err, ErrUnknown):
 			unsure = true
+		case unsure:
+			// An earlier try may stand, cut otherwise than the next would be.
+			return 0, fmt.Errorf("journal commit, after one without an answer: %v", err)
 		default:
 			return 0, fmt.Errorf("journal commit: %w", err)
 		}
+		if j.ceiling.Learn(err) {
+			j.heed()
+		}
 		slog.Debug("journal retries", "chunk", ops[0].Key, "err", err)
 		if !Sleep(ctx, retryPause) {
 			return 0, ctx.Err()
--- /dev/null
+++ b/internal/storage/mover.go
@@ -0,0 +1,99 @@
+package storage
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// mover packs the living records of old chunks into a transaction, behind what it
+// writes anyway, within the service's limits.
+type mover struct {
+	journal *Journal
+	chunks  []chunk
+	writing map[string]bool // keys that the transaction writes
+	room    int             // left in the last chunk
+	bytes   int             // of all chunks
+	ops     int             // puts and deletions
+	spare   int             // changes that may be added
+	changed int             // chunks from here on have to be encoded
+}
+
+func (j *Journal) mover(chunks []chunk, spare int) *mover {
+	m := &mover{journal: j, chunks: chunks, writing: make(map[string]bool), ops: len(chunks), spare: spare, changed: len(chunks) - 1}
+	for _, c := range chunks {
+		m.bytes += len(c.data)
+		for _, r := range c.records {
+			m.writing[r.Key] = true
+		}
+	}
+	last := &m.chunks[len(chunks)-1]
+	last.records = last.records[:len(last.records):len(last.records)]
+	m.room = j.room() - len(last.data)
+	return m
+}
+
+// mayAdd takes one more change from what is left, unless there is too little.
+func (m *mover) mayAdd(changes int) bool {
+	return m.spare >= changes && m.ops+changes <= m.journal.limits.TxnOps
+}
+
+func (m *mover) delete() bool {
+	if !m.mayAdd(1) {
+		return false
+	}
+	m.spare--
+	m.ops++
+	return true
+}
+
+// moveAll moves records as far as that goes, and tells whether it was all.
+func (m *mover) moveAll(records []Record) bool {
+	for _, r := range records {
+		if !m.move(m.journal.fitted([]Record{r})) {
+			return false
+		}
+		m.writing[r.Key] = true
+	}
+	return true
+}
+
+// move moves one record, in its parts: all of them or none.
+func (m *mover) move(parts []Record) bool {
+	puts, size, room := 0, 0, m.room
+	for _, p := range parts {
+		n := p.size()
+		if n > room {
+			puts, room = puts+1, m.journal.room()-2
+		}
+		room -= n
+		size += n
+	}
+	// A deletion must follow for it to be worth anything, if not now.
+	if puts > 0 && !m.mayAdd(puts) || m.bytes+size > txnBytes {
+		return false
+	}
+	for _, p := range parts {
+		n := p.size()
+		if n > m.room {
+			m.chunks = append(m.chunks[:len(m.chunks):len(m.chunks)], chunk{})
+			m.room = m.journal.room() - 2
+		}
+		m.room -= n
+		last := &m.chunks[len(m.chunks)-1]
+		last.records = append(last.records, p)
+	}
+	m.ops, m.spare, m.bytes = m.ops+puts, m.spare-puts, m.bytes+size
+	return true
+}
+
+// encode returns the chunks with what was added.
+func (m *mover) encode() ([]chunk, error) {
+	for i := m.changed; i < len(m.chunks); i++ {
+		data, err := json.Marshal(m.chunks[i].records)
+		if err != nil {
+			return nil, fmt.Errorf("encode chunk: %w", err)
+		}
+		m.chunks[i].data = data
+	}
+	return m.chunks, nil
+}
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -156,6 +156,7 @@
 type Record struct {
 	Key  string
 	Data json.RawMessage
+	part *part // a piece of the data instead of all of it; nil: all
 }
 
 // NewRecord encodes data under key; nil data removes the entity.
@@ -172,6 +173,9 @@
 
 // MarshalJSON writes a record as the compact pair [key, data].
 func (r Record) MarshalJSON() ([]byte, error) {
+	if r.part != nil {
+		return r.part.marshal(r.Key)
+	}
 	if r.Data == nil {
 		return json.Marshal([]string{r.Key})
 	}
@@ -184,15 +188,20 @@
 	if err := json.Unmarshal(b, &pair); err != nil {
 		return err
 	}
-	if len(pair) == 0 || len(pair) > 2 {
+	if len(pair) == 0 || len(pair) > 2 && len(pair) != partFields {
 		return fmt.Errorf("a record has %d parts", len(pair))
 	}
 	if err := json.Unmarshal(pair[0], &r.Key); err != nil {
 		return err
 	}
-	r.Data = nil
-	if len(pair) == 2 {
+	r.Data, r.part = nil, nil
+	switch len(pair) {
+	case 2:
 		r.Data = pair[1]
+	case partFields:
+		var err error
+		r.part, err = unmarshalPart(pair)
+		return err
 	}
 	return nil
 }
--- a/internal/storage/service.go
+++ b/internal/storage/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -16,6 +17,9 @@
 	// Patience is how long the journal waits for one answer before it asks
 	// again; a request may never get one. 0: for ever.
 	Patience time.Duration
+	// Next are the limits that the service will have from some moment on; nil:
+	// not said. A figure of 0 stays as it is.
+	Next *Limits
 }
 
 // Item is a key of the state service with its value and version.
@@ -50,6 +54,10 @@
 	ErrUnknown = errors.New("outcome unknown")
 	// ErrNoLease: a change names a lease that has ended.
 	ErrNoLease = errors.New("no such lease")
+	// ErrTooMany: refused, for requests or changes come too fast.
+	ErrTooMany = fmt.Errorf("too many: %w", ErrRefused)
+	// ErrMalformed: not executed, and won't be as it is.
+	ErrMalformed = errors.New("state service calls the request malformed")
 	// ErrCompacted: the changes asked for are no longer kept.
 	ErrCompacted = errors.New("changes no longer kept")
 )
--- a/internal/storage/storagetest/service.go
+++ b/internal/storage/storagetest/service.go
@@ -41,6 +41,10 @@
 	Late func() time.Duration
 	// Slow is added to the time that each request takes.
 	Slow time.Duration
+	// ValueBytes and TxnOps are the service's limits, which may fall.
+	ValueBytes, TxnOps int
+	// Drop, if set, tells which transactions are never carried out.
+	Drop func(Txn) bool
 }
 
 // Trouble changes how the store serves, under its lock.
@@ -52,7 +56,7 @@
 
 // NewService returns an empty store.
 func NewService() *Service {
-	return &Service{items: make(map[string]storage.Item), leases: make(map[uint64]time.Time), lives: make(map[uint64]time.Duration), changed: make(chan struct{})}
+	return &Service{items: make(map[string]storage.Item), leases: make(map[uint64]time.Time), lives: make(map[uint64]time.Duration), changed: make(chan struct{}), ValueBytes: 8192, TxnOps: 32}
 }
 
 // Outage begins or ends an outage; afterwards leases have their full time.
@@ -227,18 +231,22 @@
 	if err := c.enter(ctx); err != nil {
 		return 0, err
 	}
+	c.mu.Lock()
+	valueBytes, txnOps := c.ValueBytes, c.TxnOps
+	c.mu.Unlock()
 	total := 0
 	for _, o := range ops {
 		total += len(o.Data)
-		if len(o.Data) > 8192 || o.Data != nil && !json.Valid(o.Data) {
-			return 0, fmt.Errorf("bad value of %d bytes for %s", len(o.Data), o.Key)
+		if len(o.Data) > valueBytes || o.Data != nil && !json.Valid(o.Data) {
+			return 0, fmt.Errorf("%w: value of %d bytes for %s", storage.ErrMalformed, len(o.Data), o.Key)
 		}
 	}
-	if len(ops) > 32 || total > 64<<10 {
-		return 0, fmt.Errorf("transaction of %d changes, %d bytes", len(ops), total)
+	if len(ops) > txnOps || total > 64<<10 {
+		return 0, fmt.Errorf("%w: transaction of %d changes, %d bytes", storage.ErrMalformed, len(ops), total)
 	}
 	c.mu.Lock()
 	c.Sent = append(c.Sent, Txn{guards, ops})
+	drop := c.Drop != nil && c.Drop(Txn{guards, ops})
 	lose := c.LoseAnswers > 0
 	if lose {
 		c.LoseAnswers--
@@ -248,6 +256,10 @@
 		late = c.Late()
 	}
 	c.mu.Unlock()
+	if drop {
+		<-ctx.Done()
+		return 0, storage.ErrUnknown
+	}
 	if late > 0 {
 		time.AfterFunc(late, func() { _, _ = c.Apply(guards, ops) })
 		<-ctx.Done() // the connection stays open, without an answer
--- /dev/null
+++ b/internal/transport/freeze_test.go
@@ -0,0 +1,45 @@
+//go:build freeze
+
+package transport
+
+import (
+	"bytes"
+	"encoding/gob"
+	"os"
+	"testing"
+	"time"
+
+	"sagevale/internal/coordination"
+	"sagevale/internal/storage"
+)
+
+// TestFreeze writes the messages that this version's nodes exchange to the folder
+// that FREEZE names: see testdata/production/README.md.
+func TestFreeze(t *testing.T) {
+	write := func(name string, messages ...any) {
+		var buf bytes.Buffer
+		enc := gob.NewEncoder(&buf)
+		for _, m := range messages {
+			if err := enc.Encode(m); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := os.WriteFile(os.Getenv("FREEZE")+"/"+name, buf.Bytes(), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	notice := 12.5
+	spec := storage.Spec{ID: "000007", Class: "sweep", Team: "team", Gang: true, Priority: storage.High, Tasks: 3,
+		Room: storage.Room{CPUs: 2, GPUs: 1, MemoryGB: 4}, Types: []string{"cpu"}, Zone: "a", SameZone: true, Spread: true, Spot: true,
+		Image: "img", ImageGB: 1.5, EstimateS: 30, CheckpointS: 10, SaveS: 2, DeadlineS: 90}
+	write("asks.gob",
+		peerAsk{Serial: 1, Req: coordination.UserRequest{Op: coordination.OpPing, ID: "n1"}},
+		peerAsk{Serial: 2, Req: coordination.UserRequest{Op: coordination.OpSubmit, ID: "000007", Spec: spec}},
+		peerAsk{Serial: 3, Reports: []*coordination.Report{{Machine: 7, Addr: "10.0.0.7:9000", Type: "cpu", Zone: "a", Spot: true, Session: 3, Seq: 9, Token: 4, Notice: &notice,
+			Tasks: []coordination.TaskReport{{ID: coordination.TaskID{Job: "000001", Task: 1}, Try: 5, State: coordination.Ended, Cause: coordination.CausePeers, Saved: true}}}}})
+	write("answers.gob",
+		peerAnswer{Serial: 1, Answer: coordination.Answer{Peer: coordination.PeerState{Up: time.Minute, SinceState: time.Second, Leader: "n2", Term: 4,
+			Hears: time.Second, Alone: time.Hour, Lends: 20 * time.Second, LendTerm: 4, Barred: []int{7, 8}}}},
+		peerAnswer{Serial: 2, Answer: coordination.Answer{Code: coordination.CodeOK, ID: "000007", State: coordination.StateRunning, Done: 1, Running: 2, Holds: time.Second}},
+		peerAnswer{Serial: 3, Beats: []coordination.BeatAnswer{{Accepted: true, Token: 4, Orders: []coordination.Order{{Verb: coordination.Stop, ID: coordination.TaskID{Job: "000001", Task: 1}, Try: 5, GraceS: 2.5}}}}})
+}
--- a/internal/transport/state.go
+++ b/internal/transport/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -54,16 +53,16 @@
 		return &storage.ConflictError{Failed: a.Failed}
 	case http.StatusGone:
 		return storage.ErrCompacted
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusTooManyRequests:
+		return storage.ErrTooMany
+	case http.StatusServiceUnavailable:
 		return fmt.Errorf("%w: status %d", storage.ErrRefused, ex.status)
 	case http.StatusBadRequest:
-		return fmt.Errorf("%w: %.200s", errMalformed, ex.body)
+		return fmt.Errorf("%w: %.200s", storage.ErrMalformed, ex.body)
 	}
 	return fmt.Errorf("%w: status %d", storage.ErrUnknown, ex.status)
 }
 
-var errMalformed = errors.New("state service calls the request malformed")
-
 // Get reads one key.
 func (s *StateClient) Get(ctx context.Context, key string) (storage.Item, error) {
 	var it protocol.StoredItem
