--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -125,6 +125,9 @@
 func (d *dispatcher) reserve(c *class, now time.Time) int {
 	s := &c.last.spec
 	batch := !s.Service
+	if s.Gang {
+		return d.reserveGang(c, now)
+	}
 	if s.Priority < storage.High && !(batch && s.Spot && (s.Priority >= storage.Normal || s.DeadlineS > 0)) {
 		return 0
 	}
@@ -143,6 +146,27 @@
 	return int(math.Ceil(stay*boot + luck*math.Sqrt(squares*boot) - 0.5))
 }
 
+// gangBoots: gangs that are to start within so many boots find room that is kept
+// for them, others may wait for machines.
+const gangBoots = 2
+
+// reserveGang is how many tasks of a class of gangs to keep room for: what their
+// usual number exceeds the present one by, and at the least the largest gang of late.
+func (d *dispatcher) reserveGang(c *class, now time.Time) int {
+	within := d.settings.startWithin(c.last.spec.Class)
+	tasks, squares, window := d.rate(c, now)
+	if within <= 0 || within.Seconds() >= gangBoots*d.leastBoot(c.last) || window == 0 || tasks == 0 {
+		return 0
+	}
+	run := d.usualRun(c) / window
+	usual := tasks*run + d.settings.Tuning.Reserve*math.Sqrt(squares*run)
+	largest := 0
+	for _, a := range c.arrivals {
+		largest = max(largest, a.tasks)
+	}
+	return max(largest, int(usual)-d.present(c.last.spec.Class))
+}
+
 // rate counts a class's tasks, and the sum of their jobs' squares, that came
 // within a window of so many seconds. The window is 0 until there is one.
 func (d *dispatcher) rate(c *class, now time.Time) (tasks, squares, window float64) {
--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -383,6 +383,7 @@
 	}
 	d.learnSolos()
 	d.expire(now)
+	d.tendGangs(now)
 	d.renewToken(now)
 	d.place = true
 	if !now.Before(d.viewAt) {
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -114,6 +114,8 @@
 	for _, a := range m.sortedAttempts() {
 		s := &a.job.spec
 		switch {
+		case s.Gang:
+			d.drainGang(a, now)
 		case s.Service:
 			d.stop(a, 0)
 		case s.CheckpointS > 0:
--- /dev/null
+++ b/internal/coordination/gang_test.go
@@ -0,0 +1,359 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sagevale/internal/storage"
+)
+
+// gangOf is a gang whose tasks must be in one zone.
+func gangOf(id string, tasks int) storage.Spec {
+	s := sweep(id, tasks)
+	s.Class, s.Gang, s.SameZone, s.CheckpointS, s.SaveS = "gang", true, true, 10, 3
+	return s
+}
+
+// begun is how often a gang has begun.
+func (w *world) begun(id string) (n int) {
+	w.locked(func() { n = w.together[id] })
+	return n
+}
+
+// tries are the numbers of the attempts that a job's live tasks have.
+func (w *world) tries(id string) map[uint64]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make(map[uint64]int)
+	for _, wk := range w.workers {
+		wk.settle()
+		for k, t := range wk.tasks {
+			if k.ID.Job == id && t.state != Ended && !wk.dead.Load() {
+				out[k.Try]++
+			}
+		}
+	}
+	return out
+}
+
+var gangStories = []struct {
+	name  string
+	story func(w *world)
+}{
+	{"starts together and is done together", func(w *world) {
+		for i, n := range []int{1, 3, 16} {
+			w.submit(gangOf(fmt.Sprintf("%06d", i+1), n))
+		}
+		for i := range 3 {
+			id := fmt.Sprintf("%06d", i+1)
+			w.done(id)
+			w.closeLook(id)
+			if n := w.begun(id); n != 1 {
+				w.t.Errorf("job %s began %d times", id, n)
+			}
+		}
+	}},
+	{"waiting for the others is neither running nor progress", func(w *world) {
+		w.submit(service("000001", 4))
+		w.runs("000001", 4)
+		for _, wk := range w.all() {
+			wk.fetches.Store(true)
+		}
+		w.submit(gangOf("000002", 3))
+		w.eventually("it is placed", time.Minute, func() bool { return len(w.running("000002")) == 3 })
+		if a := w.poll("000002"); a.State != StatePending || a.Running != 0 {
+			w.t.Errorf("told %+v", a)
+		}
+	}},
+	{"a task that doesn't come is replaced under the same number", func(w *world) {
+		w.submit(service("000001", 8))
+		w.submit(lasting("000009", 16, 5*time.Minute)) // keeps machines
+		w.runs("000001", 8)
+		w.runs("000009", 16)
+		slow := w.machinesOf("000001")[0]
+		slow.fetches.Store(true)
+		w.submit(gangOf("000002", 5))
+		var first uint64
+		w.eventually("it is placed", 2*time.Minute, func() bool {
+			for try := range w.tries("000002") {
+				first = try
+			}
+			return len(w.running("000002")) == 5
+		})
+		w.eventually("it runs", 2*time.Minute, func() bool { return w.begun("000002") == 1 })
+		for try := range w.tries("000002") {
+			if try != first {
+				w.t.Errorf("it runs as %d, began as %d", try, first)
+			}
+		}
+		w.done("000002")
+	}},
+	{"a task lost before the start is replaced, one lost later ends the attempt", func(w *world) {
+		w.submit(service("000001", 8))
+		w.runs("000001", 8)
+		for _, wk := range w.all() {
+			wk.fetches.Store(true)
+		}
+		w.submit(gangOf("000002", 4))
+		w.eventually("it is placed", 2*time.Minute, func() bool { return len(w.running("000002")) == 4 })
+		w.machinesOf("000002")[0].dead.Store(true)
+		for _, wk := range w.all() {
+			wk.fetches.Store(false)
+			w.locked(func() {
+				for k, t := range wk.tasks {
+					if k.ID.Job == "000002" && t.state == Pulling {
+						t.state, t.since = Gathering, time.Now()
+					}
+				}
+			})
+		}
+		w.eventually("it runs", 3*time.Minute, func() bool { return w.begun("000002") == 1 })
+		w.machinesOf("000002")[0].dead.Store(true)
+		w.eventually("it runs again", 3*time.Minute, func() bool { return w.begun("000002") == 2 })
+		w.done("000002")
+	}},
+	{"the leader ends between the starts", func(w *world) {
+		w.submit(service("000001", 8))
+		w.runs("000001", 8)
+		for i := range 12 {
+			id := fmt.Sprintf("%06d", 100+i)
+			w.upload(gangOf(id, 5))
+			go w.look(w.awaitLeader(), OpSubmit, id, gangOf(id, 5))
+			time.Sleep(time.Duration(i) * 2 * time.Millisecond)
+			w.crash(w.awaitLeader(), time.Second)
+			w.submit(gangOf(id, 5))
+			w.done(id)
+			if n := w.begun(id); n > 1 {
+				w.t.Errorf("gang %s began %d times", id, n)
+			}
+		}
+	}},
+	{"a cut zone has half of the gang", func(w *world) {
+		w.submit(onZone("000001", "a", 8))
+		w.submit(onZone("000002", "b", 8))
+		w.runs("000001", 8)
+		w.runs("000002", 8)
+		g := gangOf("000003", 10)
+		g.SameZone, g.Spread, g.EstimateS = false, true, 60
+		w.submit(g)
+		w.eventually("it runs", 3*time.Minute, func() bool { return w.begun("000003") == 1 })
+		w.leadOutside("b")
+		w.cutZone("b")
+		time.Sleep(2 * w.settings.Lease)
+		w.cutZone("")
+		w.done("000003")
+	}},
+	{"cancelled while it waits, and repeated after", func(w *world) {
+		w.submit(service("000001", 4))
+		w.runs("000001", 4)
+		for _, wk := range w.all() {
+			wk.fetches.Store(true)
+		}
+		w.submit(gangOf("000002", 3))
+		w.eventually("it is placed", 2*time.Minute, func() bool { return len(w.running("000002")) == 3 })
+		w.cancel("000002")
+		w.crash(w.awaitLeader(), time.Second)
+		w.closeLook("000002")
+		w.gone("000002")
+		for _, wk := range w.all() {
+			wk.fetches.Store(false)
+		}
+		w.closeLook("000002")
+		if w.begun("000002") != 0 {
+			w.t.Error("a cancelled gang began")
+		}
+	}},
+	{"an end is told though the leader ends and old reports come", func(w *world) {
+		w.submit(gangOf("000001", 6))
+		w.eventually("it runs", 3*time.Minute, func() bool { return w.begun("000001") == 1 })
+		w.keep()
+		time.Sleep(19 * time.Second)
+		for range 3 {
+			w.crash(w.awaitLeader(), time.Second)
+			w.replay(w.nodes...)
+		}
+		w.done("000001")
+		w.replay(w.nodes...)
+		w.closeLook("000001")
+		if n := w.begun("000001"); n != 1 {
+			w.t.Errorf("began %d times", n)
+		}
+	}},
+	{"two gangs and a stream of small jobs share too little room", func(w *world) {
+		w.locked(func() {
+			w.cloud.full = func(h storage.HireRecord) bool { return len(w.workers) >= 4 || h.Type == "gpu" || h.Zone != "a" }
+		})
+		for i := range 6 {
+			w.submit(lasting(fmt.Sprintf("%06d", i+1), 4, 10*time.Second))
+		}
+		w.runs("000001", 4)
+		w.submit(gangOf("000100", 10))
+		w.submit(gangOf("000101", 10))
+		submitted := time.Now()
+		for i := range 40 {
+			w.submit(lasting(fmt.Sprintf("%06d", i+200), 2, 10*time.Second))
+			time.Sleep(time.Second)
+		}
+		w.eventually("both have begun", 4*time.Minute-time.Since(submitted), func() bool { return w.begun("000100") > 0 && w.begun("000101") > 0 })
+		w.done("000100")
+		w.done("000101")
+		for i := range 40 {
+			w.done(fmt.Sprintf("%06d", i+200))
+		}
+	}},
+	{"more tasks than one transaction holds", func(w *world) {
+		s := gangOf("000001", 400)
+		s.Room, s.SameZone = storage.Room{CPUs: 0.1, MemoryGB: 0.1}, false
+		w.submit(s)
+		w.done("000001")
+		if n := w.begun("000001"); n != 1 {
+			w.t.Errorf("began %d times", n)
+		}
+	}},
+}
+
+func TestGangs(t *testing.T) {
+	for _, g := range gangStories {
+		t.Run(g.name, func(t *testing.T) { inWorld(t, g.story) })
+	}
+}
+
+// What a gang needs as a whole decides whether it is taken.
+func TestAGangThatCanNeverRunIsRefused(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.submit(service("000009", 1)) // the types are known
+		for id, s := range map[string]storage.Spec{"000001": onLimit(gangOf("000001", 3)), "000002": gangOf("000002", 2)} {
+			if id == "000002" {
+				s.Room.CPUs = 1000
+			}
+			if a := w.ask(OpSubmit, id, s); a.Code != CodeUnfit {
+				t.Errorf("job %s is answered %+v", id, a)
+			}
+		}
+		w.submit(onLimit(gangOf("000003", 2)))
+		w.done("000003")
+	})
+}
+
+// A gang either gets room for all or stops nothing.
+func TestPreemptionForAGangIsWholeOrNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		low := lasting("000001", 8, time.Hour)
+		low.Priority, low.Room = storage.BestEffort, storage.Room{CPUs: 4, MemoryGB: 8}
+		j := d.accept(low)
+		for i := range 4 {
+			m := d.up(i, "cpu", "a", false)
+			for k := range 2 {
+				d.enter(&attempt{job: j, task: 2*i + k, try: uint64(1 + 2*i + k), on: m, session: 1, mine: true, seen: true, state: Running, started: time.Now()})
+			}
+		}
+		stopped := func() (n int) {
+			for _, a := range j.attempts {
+				if a.stop {
+					n++
+				}
+			}
+			return n
+		}
+		d.accept(gangOf("000002", 17)) // 16 would fit
+		d.placeRound(time.Now())
+		if n := stopped(); n != 0 {
+			t.Errorf("%d stopped for a gang that finds no room all the same", n)
+		}
+		g := d.accept(gangOf("000003", 5))
+		d.jobs["000002"].pauseTill = time.Now().Add(time.Hour)
+		time.Sleep(time.Second)
+		d.placeRound(time.Now())
+		if n := stopped(); n != 3 || len(g.attempts) != 0 {
+			t.Errorf("%d stopped for five tasks of two CPUs, %d placed", n, len(g.attempts))
+		}
+		time.Sleep(time.Second)
+		d.placeRound(time.Now())
+		if n := stopped(); n != 3 {
+			t.Errorf("%d stopped at the second look", n)
+		}
+		for _, a := range j.gangAttempts() {
+			if a.stop {
+				d.free(a, "stopped")
+			}
+		}
+		d.placeRound(time.Now())
+		if len(g.attempts) != 5 {
+			t.Errorf("%d of 5 placed", len(g.attempts))
+		}
+	})
+}
+
+// A gang in the way of something more urgent is stopped whole, with the time to
+// save.
+func TestAGangIsStoppedInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		g := d.accept(gangOf("000001", 4))
+		var machines []*machine
+		for i := range 2 {
+			machines = append(machines, d.up(i, "cpu", "a", false))
+		}
+		for i := range 4 {
+			d.enter(&attempt{job: g, task: i, try: 9, on: machines[i/2], session: 1, mine: true, seen: true, state: Running, started: time.Now()})
+		}
+		g.gang.ran = true
+		urgent := service("000002", 1)
+		urgent.Room = storage.Room{CPUs: 8, MemoryGB: 8}
+		d.accept(urgent)
+		d.placeRound(time.Now())
+		for _, a := range g.gangAttempts() {
+			if !a.stop || a.graceS != g.spec.SaveS || !a.stopSent {
+				t.Errorf("task %d: %+v", a.task, a)
+			}
+		}
+	})
+}
+
+// What an earlier leader left half written is begun anew, once all of it is gone.
+func TestARecordOfTwoAttemptsIsDisbanded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		spec := gangOf("000001", 3)
+		d := newDesk(t, grownSettings())
+		if err := d.load([]storage.Record{record(t, storage.JobKey("000001"), storage.JobRecord{Tasks: 3, Spec: &spec}),
+			record(t, storage.PageKey("000001", 0), storage.PageRecord{Attempts: []storage.AttemptRecord{
+				{Task: 0, Try: 5, Machine: 1, Session: 1}, {Task: 1, Try: 9, Machine: 2, Session: 1}}})}); err != nil {
+			t.Fatal(err)
+		}
+		d.setTypes(testTypes)
+		j := d.jobs["000001"]
+		for i := 10; i < 14; i++ {
+			d.up(i, "cpu", "a", false)
+		}
+		d.placeRound(time.Now())
+		if len(j.attempts) != 2 || !j.attempts[0].stop || !j.attempts[1].stop {
+			t.Errorf("attempts %+v", j.attempts)
+		}
+		for _, a := range j.gangAttempts() {
+			d.free(a, "proved gone")
+		}
+		d.placeRound(time.Now())
+		if len(j.attempts) != 3 || len(map[uint64]bool{j.attempts[0].try: true, j.attempts[1].try: true, j.attempts[2].try: true}) != 1 {
+			t.Errorf("attempts %+v", j.attempts)
+		}
+	})
+}
+
+// Work that ends waits for its places rather than for a new machine; a gang that
+// lacks one place would wait for good.
+func TestTheFleetGrowsForAGangAsAWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		for i := range 3 {
+			d.up(i, "cpu", []string{"a", "a", "b"}[i], false)
+		}
+		d.accept(gangOf("000001", 9)) // eight fit in zone a, four in b
+		p := d.look()
+		if len(p.wants) != 1 || p.wants[0].zone != "a" {
+			t.Errorf("wanted %+v", p.wants)
+		}
+	})
+}
--- a/internal/coordination/job.go
+++ b/internal/coordination/job.go
@@ -31,6 +31,8 @@
 	fits     []string // machine types that may hold a task; nil: not yet known
 	types    string   // the allowed types in one string
 
+	gang gang // of a job whose tasks run together
+
 	failures  int // tasks that failed since the last success
 	pauseTill time.Time
 }
@@ -50,6 +52,7 @@
 	seen    bool
 	state   TaskState
 	started time.Time
+	gathers time.Time // since when it waits for the others of its gang
 
 	stop     bool // to be stopped
 	stopSent bool // has been told so directly
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -33,6 +33,9 @@
 			d.open[j.spec.ID] = j
 			d.openTasks += len(j.tasks)
 			// Its pages may have become durable and its own record not.
+			if j.spec.Gang && j.done > 0 {
+				d.gangDone(j) // an earlier version noted them one by one
+			}
 			d.finish(j)
 		} else {
 			j.tasks, j.waiting = nil, 0
--- a/internal/coordination/machine.go
+++ b/internal/coordination/machine.go
@@ -140,7 +140,9 @@
 	for _, a := range m.attempts {
 		out = append(out, a)
 	}
-	sort.Slice(out, func(x, y int) bool { return out[x].try < out[y].try })
+	sort.Slice(out, func(x, y int) bool {
+		return out[x].try < out[y].try || out[x].try == out[y].try && out[x].task < out[y].task
+	})
 	return out
 }
 
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -27,6 +27,7 @@
 	dry    dryness // shapes that found no free room
 	hard   dryness // shapes for which nothing can be stopped either
 	booked []*attempt
+	held   bool // room is kept for a gang that found too little
 }
 
 // placeRound books room for waiting tasks, the most urgent first, and starts
@@ -96,49 +97,6 @@
 	}
 }
 
-// placeGang books room for all tasks of a gang, or for none: it only goes when
-// every task holds booked room.
-func (d *dispatcher) placeGang(j *job, r *round) {
-	if len(j.attempts) > 0 {
-		return // an earlier gathering isn't over everywhere
-	}
-	zones := newZoneCheck(j)
-	var booked []*attempt
-	for j.waiting > 0 {
-		task, ok := j.nextWaiting()
-		var s *slot
-		if ok && d.withinLimit(j) {
-			s = d.choose(j, r, &zones)
-		}
-		if s == nil {
-			for _, a := range booked {
-				d.free(a, "no room for the whole gang")
-			}
-			r.slots = d.readySlots(r.now)
-			return
-		}
-		booked = append(booked, d.bookOn(j, task, s, r.now))
-		zones.add(s.zone, 1)
-	}
-	// The workers gather the tasks of one try.
-	for _, a := range booked {
-		a.try = d.nextTry
-	}
-	r.booked = append(r.booked, booked...)
-}
-
-// regather stops what is left of a gang that has lost a task.
-func (d *dispatcher) regather(j *job) {
-	if !j.spec.Gang || j.waiting == 0 {
-		return
-	}
-	for _, a := range j.attempts {
-		if a.sent() {
-			d.stop(a, j.spec.SaveS)
-		}
-	}
-}
-
 func (d *dispatcher) withinLimit(j *job) bool {
 	team := d.settings.team(j.spec.Team)
 	return team != nil && storage.Within(d.books.Team(j.spec.Team).Plus(j.spec.Room), team.Limit)
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -22,7 +22,7 @@
 		if !j.spec.Room.Fits(s.typ.Room) || !s.admits(j, zones) {
 			continue
 		}
-		v, cost, ok := s.victims(j, r.now)
+		v, cost, ok := s.victims(j.spec.Room, j.spec.Priority, r.now)
 		if ok && (best == nil || cost < bestCost) {
 			best, victims, bestCost = s, v, cost
 		}
@@ -37,7 +37,7 @@
 	for _, v := range victims {
 		d.log.Debug("preempt", "job", v.job.spec.ID, "task", v.task, "machine", v.on.id, "for", j.spec.ID)
 		best.freeing = best.freeing.Plus(v.job.spec.Room)
-		d.stop(v, v.job.spec.SaveS)
+		d.preemptOne(v)
 	}
 	best.claim(j.spec.Room)
 	if len(victims) > 0 {
@@ -53,30 +53,30 @@
 	s.freeing = all.Minus(s.free)
 }
 
-// victims chooses tasks of lower priority in the slot whose end makes room for
-// a task of j, the cheapest to lose first. Room that is being freed already
+// victims chooses tasks of lower priority in the slot whose end makes that much
+// room, the cheapest to lose first. Room that is being freed already
 // counts: then there is nothing to stop.
-func (s *slot) victims(j *job, now time.Time) ([]*attempt, float64, bool) {
+func (s *slot) victims(room storage.Room, rank storage.Priority, now time.Time) ([]*attempt, float64, bool) {
 	free := s.free.Plus(s.freeing)
-	if j.spec.Room.Fits(free) {
+	if room.Fits(free) {
 		return nil, 0, true
 	}
 	most := free
-	for _, live := range s.on.live[:j.spec.Priority] {
+	for _, live := range s.on.live[:rank] {
 		most = most.Plus(live)
 	}
-	if !j.spec.Room.Fits(most) {
+	if !room.Fits(most) {
 		return nil, 0, false
 	}
 	var lower []*attempt
 	for _, a := range s.on.sortedAttempts() {
-		if !a.stop && a.job.spec.Priority < j.spec.Priority {
+		if !a.stop && a.job.spec.Priority < rank {
 			lower = append(lower, a)
 		}
 	}
 	var out []*attempt
 	cost := 0.0
-	for len(lower) > 0 && !j.spec.Room.Fits(free) {
+	for len(lower) > 0 && !room.Fits(free) {
 		k := 0
 		for i := range lower {
 			if lossOf(lower[i], now) < lossOf(lower[k], now) {
@@ -89,15 +89,18 @@
 		cost += lossOf(a, now)
 		free = free.Plus(a.job.spec.Room)
 	}
-	return out, cost, j.spec.Room.Fits(free)
+	return out, cost, room.Fits(free)
 }
 
 // lossOf is the work lost if an attempt is stopped, in machine seconds.
 func lossOf(a *attempt, now time.Time) float64 {
 	size := max(a.job.spec.Room.CPUs, 1) + 16*a.job.spec.Room.GPUs
-	if !a.seen || a.state == Pulling {
+	if !a.seen || a.state == Pulling || a.state == Gathering {
 		return size
 	}
+	if a.job.spec.Gang {
+		size *= float64(len(a.job.attempts)) // all are stopped with it
+	}
 	ran := now.Sub(a.started).Seconds()
 	if a.job.spec.CheckpointS > 0 {
 		ran = min(ran, a.job.spec.SaveS)
--- a/internal/coordination/pressure.go
+++ b/internal/coordination/pressure.go
@@ -37,7 +37,12 @@
 			continue
 		}
 		n := 0
-		for ; n < j.tries(); n++ {
+		if j.spec.Gang {
+			if n = d.gangDemand(j, team, teams); n == 0 {
+				continue
+			}
+		}
+		for ; !j.spec.Gang && n < j.tries(); n++ {
 			used := d.books.Team(j.spec.Team).Plus(teams[j.spec.Team]).Plus(j.spec.Room)
 			if !storage.Within(used, team.Limit) {
 				break
@@ -67,10 +72,21 @@
 	return out
 }
 
+// gangDemand is how many tasks a gang waits for: all of them within the team's
+// limit, or none.
+func (d *dispatcher) gangDemand(j *job, team *Team, teams map[string]storage.Room) int {
+	all := teams[j.spec.Team].Plus(j.spec.Room.Times(j.waiting))
+	if !storage.Within(d.books.Team(j.spec.Team).Plus(all), team.Limit) || len(j.attempts) > 0 && !j.whole() {
+		return 0
+	}
+	teams[j.spec.Team] = all
+	return j.waiting
+}
+
 // modelOf returns a job like j whose tasks may be in any of its zones.
 func modelOf(j *job) *job {
 	model := &job{spec: j.spec, types: j.types, fits: j.fits}
-	model.spec.Spread, model.spec.SameZone = false, false
+	model.spec.Spread, model.spec.SameZone = false, j.spec.SameZone && j.spec.Gang
 	return model
 }
 
@@ -188,12 +204,17 @@
 // pack puts a demand's tasks into slots, wanting new ones where it must, and
 // returns how many count on machines that aren't up yet.
 func (d *dispatcher) pack(p *packing, dm *demand, e *ending, now time.Time) (coming int) {
+	if s := &dm.job.spec; s.Gang && s.SameZone && len(dm.job.attempts) == 0 {
+		if zone := gangZone(p.slots, dm); zone != "" {
+			dm.zones.add(zone, 1) // all of it there
+		}
+	}
 	for dm.n > 0 {
 		if s := d.bestSlot(p, dm); s != nil {
 			coming += s.put(dm, e)
 			continue
 		}
-		if dm.runS > 0 && e.places > 0 {
+		if dm.runS > 0 && e.places > 0 && !dm.job.spec.Gang {
 			// What usually comes takes its places before the backlog does.
 			left := max(float64(e.places)-e.usual, leastLeft*float64(e.places))
 			if float64(e.behind+dm.n)*dm.runS/left < d.leastBoot(dm.job) {
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -171,8 +171,12 @@
 		switch t.State {
 		case Pulling:
 		case Gathering:
+			if a.gathers.IsZero() {
+				a.gathers = now
+			}
 			m.useImage(a.job.spec.Image, a.job.spec.ImageGB, now)
 		case Running, Saving:
+			a.job.gang.ran = true
 			if !wasRunning && t.State == Running {
 				a.started = now
 				d.log.Debug("task running", "job", a.job.spec.ID, "class", a.job.spec.Class, "task", a.task, "machine", m.id,
@@ -188,6 +192,9 @@
 	j := d.jobs[t.ID.Job]
 	if t.State == Ended {
 		if j != nil && t.Cause == CauseDone && t.ID.Task < len(j.tasks) && j.tasks[t.ID.Task] == taskWaiting {
+			if j.spec.Gang {
+				d.gangDone(j)
+			}
 			j.setTask(t.ID.Task, taskDone)
 			d.markPage(j, t.ID.Task)
 			d.finish(j)
@@ -215,9 +222,17 @@
 		j.failures = 0
 		m.failures = 0
 		d.ran(a, now)
+		if j.spec.Gang {
+			d.gangDone(j)
+		}
 		j.setTask(a.task, taskDone)
+	case CausePeers:
+		j.gang.over = true // the gang's failure, not the machine's
 	case CauseError:
-		j.failures++
+		if !j.gang.over {
+			j.failures++
+		}
+		j.gang.over = j.gang.over || j.gang.ran
 		if m.lastFail != j.spec.ID {
 			m.lastFail = j.spec.ID
 			m.failures++
@@ -243,6 +258,9 @@
 	a.on.attempts[a.id()] = a
 	d.books.Book(a.on.id, a.job.spec.Team, a.job.spec.Room)
 	a.on.hold(a, 1)
+	if a.job.spec.Gang {
+		a.job.noteGang(a)
+	}
 }
 
 // free takes an attempt out of the books: its place is proved empty, or its
@@ -264,7 +282,9 @@
 	}
 	j.setTask(a.task, taskWaiting)
 	d.markPage(j, a.task)
-	d.regather(j)
+	if j.spec.Gang && j.phase == storage.Open {
+		d.lost(a)
+	}
 	if m.draining != "" && len(m.attempts) == 0 {
 		d.viewAt = time.Time{} // to be returned; the next drain waits for it
 	}
--- a/internal/coordination/spare.go
+++ b/internal/coordination/spare.go
@@ -145,7 +145,7 @@
 func (d *dispatcher) tryMove(m *machine, slots []*slot, saving bool, now time.Time, suits func(*slot, *job) bool) (undo func(), ok bool) {
 	undo = func() {}
 	for _, a := range m.sortedAttempts() {
-		if !a.job.spec.Service && !(saving && a.job.spec.CheckpointS > 0) {
+		if !a.job.spec.Service && !(saving && a.job.spec.CheckpointS > 0 && !a.job.spec.Gang) {
 			continue
 		}
 		if saving && d.lateByMove(a, now) {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -34,6 +34,7 @@
 	ran      map[TaskID]bool      // tasks that have completed
 	kept     []*Report            // copies of reports, to come again late
 	keeping  bool
+	together map[string]int  // how often a gang has begun
 	overrun  map[string]bool // cancelled jobs seen beyond their time
 	starts   int
 	apart    atomic.Pointer[string] // a zone that is cut off from everything
@@ -67,13 +68,13 @@
 		w := &world{
 			t: t,
 			settings: Settings{
-				Zones: []string{"a", "b"}, Report: 3 * time.Second, Lease: 22 * time.Second, Cancel: 52 * time.Second,
+				Zones: []string{"a", "b"}, Report: 3 * time.Second, Lease: 22 * time.Second, Cancel: 52 * time.Second, GangWait: 45 * time.Second, GangPeer: 4 * time.Second,
 				Teams:    []Team{{Name: "team"}, {Name: "small", Limit: storage.Room{GPUs: 2}}},
 				State:    storage.Limits{RequestsPerS: 100, ChangesPerS: 40, ValueBytes: 8192, TxnOps: 32},
 				CloudRPS: 6, ListLag: 4 * time.Second, MemoryMB: 98, Sockets: 1000,
 			},
 			workers: make(map[int]*fakeWorker), specs: make(map[string]storage.Spec), cancelAt: make(map[string]time.Time),
-			told: make(map[string]JobState), askedOff: make(map[string]bool), ran: make(map[TaskID]bool), overrun: make(map[string]bool),
+			told: make(map[string]JobState), askedOff: make(map[string]bool), ran: make(map[TaskID]bool), overrun: make(map[string]bool), together: make(map[string]int),
 			log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		}
 		w.settings.Tuning = w.settings.DefaultTuning()
@@ -289,6 +290,9 @@
 	case now == StateCancelled && w.cancelAt[id].IsZero():
 		w.cancelAt[id] = time.Now()
 	case now == StateDone:
+		for _, wk := range w.workers {
+			wk.settle()
+		}
 		for i := range w.specs[id].Tasks {
 			if !w.ran[TaskID{id, i}] {
 				w.t.Errorf("not_done: job %s without task %d", id, i)
@@ -306,6 +310,7 @@
 	for !w.over.Load() {
 		time.Sleep(250 * time.Millisecond)
 		w.locked(func() {
+			w.gather()
 			for _, wk := range w.workers {
 				if wk.dead.Load() || wk.still.Load() {
 					continue // one that stands still runs nothing, unless it goes on
@@ -324,6 +329,60 @@
 	}
 }
 
+// gather has the tasks of gangs find each other: by the number of the attempt they
+// start together, and notice that one is gone.
+func (w *world) gather() {
+	type attemptKey struct {
+		job string
+		try uint64
+	}
+	now := time.Now()
+	gangs := make(map[attemptKey][]*workerTask)
+	for _, wk := range w.workers {
+		if wk.dead.Load() || wk.still.Load() {
+			continue
+		}
+		wk.settle()
+		for k, t := range wk.tasks {
+			if w.specs[k.ID.Job].Gang {
+				g := attemptKey{k.ID.Job, k.Try}
+				gangs[g] = append(gangs[g], t)
+			}
+		}
+	}
+	for g, tasks := range gangs {
+		spec := w.specs[g.job]
+		waiting, running, done := 0, 0, 0
+		for _, t := range tasks {
+			switch {
+			case t.state == Gathering:
+				waiting++
+			case t.state == Running:
+				running++
+			case t.cause == CauseDone:
+				done++
+			}
+		}
+		for _, t := range tasks {
+			switch {
+			case waiting == spec.Tasks:
+				t.state, t.since, t.ends = Running, now, now.Add(seconds(spec.EstimateS))
+			case t.state == Gathering && now.Sub(t.since) > w.settings.GangWait:
+				t.state, t.cause = Ended, CausePeers
+			case t.state != Running || running+done == spec.Tasks:
+			case t.since.After(now.Add(-w.settings.GangPeer)) && t.ends.IsZero():
+			case !t.ends.IsZero() && running+done < spec.Tasks:
+				t.ends, t.since = time.Time{}, now // it notices soon
+			case t.ends.IsZero():
+				t.state, t.cause = Ended, CausePeers
+			}
+		}
+		if waiting == spec.Tasks {
+			w.together[g.job]++
+		}
+	}
+}
+
 // upload makes a job's description known to the workers.
 func (w *world) upload(spec storage.Spec) {
 	w.mu.Lock()
@@ -442,6 +501,7 @@
 	hang    atomic.Bool              // orders reach it only later: see late
 	still   atomic.Bool              // it stands still, and may go on at any time
 	sick    atomic.Bool              // every task fails
+	fetches atomic.Bool              // no image ever comes
 	notice  *float64
 	session uint64
 	seq     uint64
@@ -461,6 +521,8 @@
 	state TaskState
 	cause EndCause
 	ends  time.Time
+	since time.Time // in its state, of a gang's task
+	saved bool
 }
 
 type lateOrders struct {
@@ -500,7 +562,7 @@
 	r := &Report{Machine: wk.id, Addr: fmt.Sprint(wk.id), Type: wk.kind, Zone: wk.zone, Spot: wk.spot,
 		Session: wk.session, Seq: wk.seq, Token: wk.token, Notice: wk.notice}
 	for k, t := range wk.tasks {
-		r.Tasks = append(r.Tasks, TaskReport{ID: k.ID, Try: k.Try, State: t.state, Cause: t.cause})
+		r.Tasks = append(r.Tasks, TaskReport{ID: k.ID, Try: k.Try, State: t.state, Cause: t.cause, Saved: t.saved})
 	}
 	sort.Slice(r.Tasks, func(a, b int) bool { return r.Tasks[a].Try < r.Tasks[b].Try })
 	return r
@@ -591,6 +653,8 @@
 			}
 		case Stop:
 			if t != nil && t.state != Ended {
+				spec := wk.w.specs[o.ID.Job]
+				t.saved = spec.Gang && t.state == Running && o.GraceS >= spec.SaveS
 				t.state, t.cause = Ended, CauseStopped
 			}
 		case Forget:
@@ -647,7 +711,12 @@
 		w.t.Errorf("ran_cancelled: %v started %v after", k.ID, time.Since(at))
 	}
 	t := &workerTask{state: Running}
-	if !spec.Service {
+	switch {
+	case wk.fetches.Load():
+		t.state = Pulling
+	case spec.Gang:
+		t.state, t.since = Gathering, time.Now()
+	case !spec.Service:
 		t.ends = time.Now().Add(seconds(spec.EstimateS))
 	}
 	return t
