--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -34,6 +34,7 @@
 	deps        Deps
 	term        uint64
 	role        Role
+	upgraded    bool                      // all nodes are of this version
 	resigned    bool                      // the lead has been given up
 	certainTill atomic.Pointer[time.Time] // role.Certain, for those who pass answers on
 	journal     *storage.Journal
@@ -375,6 +376,21 @@
 	}
 }
 
+// noteVersions tells the operators once all nodes are of this version: from here on
+// what it alone understands may be asked. A node that can't be heard may be an old one.
+func (d *dispatcher) noteVersions() {
+	if d.upgraded {
+		return
+	}
+	for _, p := range d.settings.Peers {
+		if w, ok := d.deps.Peers.Told(p.Name); !ok || w.Version < PeerVersion {
+			return
+		}
+	}
+	d.upgraded = true
+	d.log.Info("all nodes are of this version", "peer_version", PeerVersion)
+}
+
 // tick does what the clock asks for.
 func (d *dispatcher) tick() {
 	now := time.Now()
@@ -382,6 +398,7 @@
 		d.failWaiting(Unavailable("", "state service slow or out of reach"))
 	}
 	d.learnSolos()
+	d.noteVersions()
 	d.expire(now)
 	d.tendGangs(now)
 	d.renewToken(now)
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -421,3 +421,25 @@
 		}
 	})
 }
+
+// An earlier leader may have gone on renewing leases for its whole hold: a machine
+// that this term hasn't heard isn't called empty before the last of them has ended.
+func TestAMachineUnheardSinceTheTakeOverIsBoundByTheEarlierHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := grownSettings()
+		d := newDesk(t, s)
+		spec := service("000001", 1)
+		if err := d.load([]storage.Record{record(t, storage.JobKey("000001"), storage.JobRecord{Tasks: 1, Spec: &spec}),
+			record(t, storage.PageKey("000001", 0), storage.PageRecord{Attempts: []storage.AttemptRecord{{Task: 0, Try: 5, Machine: 1, Session: 1}}})}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(s.hold() + s.Lease)
+		if d.expire(time.Now()); len(d.jobs["000001"].attempts) != 1 {
+			t.Error("called empty while an earlier leader's last lease may last")
+		}
+		time.Sleep(time.Second)
+		if d.expire(time.Now()); len(d.jobs["000001"].attempts) != 0 {
+			t.Error("never called empty")
+		}
+	})
+}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -270,6 +270,7 @@
 func (n *Node) state(peer string) PeerState {
 	v := n.view.Load()
 	st := n.lead.state()
+	st.Version = PeerVersion
 	if r := v.role; !r.Leading || time.Now().Before(r.Certain) {
 		st.Leader, st.Term = r.Leader, r.Term
 	}
--- a/internal/coordination/ports.go
+++ b/internal/coordination/ports.go
@@ -153,8 +153,13 @@
 	Lends      time.Duration // if it leads: how long the asker may renew leases alone
 	LendTerm   uint64        // under that token
 	Barred     []int         // but not these machines'
+	Version    int           // of what it writes and sends; 0: one that doesn't tell
 }
 
+// PeerVersion is this version's: the first that begins gangs by the page of the
+// change request, and may write records in parts.
+const PeerVersion = 2
+
 // Outcome tells what became of a direct command.
 type Outcome int
 
--- a/internal/storage/storagetest/service.go
+++ b/internal/storage/storagetest/service.go
@@ -74,6 +74,20 @@
 	}
 }
 
+// Restore fills the store with keys, but those under a lease, which has ended
+// meanwhile; to be called within Trouble.
+func (s *Service) Restore(items []storage.Item) {
+	s.items = make(map[string]storage.Item)
+	for _, it := range items {
+		if it.Lease != 0 {
+			continue
+		}
+		s.items[it.Key] = it
+		s.rev = max(s.rev, it.Version)
+		s.note(it)
+	}
+}
+
 // Close ends all watches.
 func (s *Service) Close() {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/transport/production_test.go
@@ -0,0 +1,130 @@
+package transport
+
+import (
+	"bytes"
+	"encoding/gob"
+	"os"
+	"testing"
+	"time"
+
+	"sagevale/internal/coordination"
+	"sagevale/internal/storage"
+)
+
+// The version in production serves side by side with this one.
+// testdata/production holds what its nodes really sent each other.
+
+func TestProductionsMessagesAreRead(t *testing.T) {
+	asks, answers := open(t, "asks.gob"), open(t, "answers.gob")
+	var ping, submit, report peerAsk
+	for _, to := range []*peerAsk{&ping, &submit, &report} {
+		if err := asks.Decode(to); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if ping.Req.Op != coordination.OpPing || ping.Req.ID != "n1" {
+		t.Errorf("ping %+v", ping)
+	}
+	if s := submit.Req.Spec; !s.Gang || s.Priority != storage.High || s.Tasks != 3 || s.DeadlineS != 90 || s.Room.GPUs != 1 {
+		t.Errorf("submission %+v", submit)
+	}
+	if r := report.Reports[0]; r.Machine != 7 || *r.Notice != 12.5 || r.Tasks[0].Cause != coordination.CausePeers {
+		t.Errorf("report %+v", r)
+	}
+	var state, user, beats peerAnswer
+	for _, to := range []*peerAnswer{&state, &user, &beats} {
+		if err := answers.Decode(to); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if p := state.Answer.Peer; p.Leader != "n2" || p.Term != 4 || p.Lends != 20*time.Second || len(p.Barred) != 2 || p.Version != 0 {
+		t.Errorf("word %+v", p)
+	}
+	if a := user.Answer; a.State != coordination.StateRunning || a.Holds != time.Second || a.Running != 2 {
+		t.Errorf("answer %+v", a)
+	}
+	if b := beats.Beats[0]; !b.Accepted || b.Token != 4 || b.Orders[0].Verb != coordination.Stop {
+		t.Errorf("beat %+v", b)
+	}
+}
+
+func open(t *testing.T, name string) *gob.Decoder {
+	t.Helper()
+	raw, err := os.ReadFile("testdata/production/" + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return gob.NewDecoder(bytes.NewReader(raw))
+}
+
+// The shapes of production's messages, as far as it reads them.
+type (
+	oldPeerState struct {
+		Up, SinceState time.Duration
+		Leader         string
+		Term           uint64
+		Hears, Alone   time.Duration
+		Lends          time.Duration
+		LendTerm       uint64
+		Barred         []int
+	}
+	oldAnswer struct {
+		Code, State   int
+		ID            string
+		Done, Running int
+		Reason        string
+		RetryS        int
+		Peer          oldPeerState
+		Holds         time.Duration
+	}
+	oldPeerAnswer struct {
+		Serial uint64
+		Answer oldAnswer
+		Beats  []coordination.BeatAnswer
+	}
+	// newerAnswer is what some later version may send.
+	newerAnswer struct {
+		Serial uint64
+		Answer struct {
+			ID     string
+			Code   int
+			Peer   struct{ Version, Else int }
+			Unsaid map[string]string
+		}
+		More []string
+	}
+)
+
+func TestProductionReadsWhatIsSentNow(t *testing.T) {
+	var buf bytes.Buffer
+	sent := peerAnswer{Serial: 3, Answer: coordination.Answer{Code: coordination.CodeOK, ID: "000007", State: coordination.StateDone, Done: 2,
+		Peer: coordination.PeerState{Up: time.Minute, Leader: "n2", Term: 4, Lends: time.Second, Barred: []int{7}, Version: coordination.PeerVersion}}}
+	if err := gob.NewEncoder(&buf).Encode(sent); err != nil {
+		t.Fatal(err)
+	}
+	var got oldPeerAnswer
+	if err := gob.NewDecoder(&buf).Decode(&got); err != nil {
+		t.Fatal(err)
+	}
+	if a := got.Answer; got.Serial != 3 || a.ID != "000007" || a.State != int(coordination.StateDone) || a.Peer.Term != 4 || a.Peer.Lends != time.Second || len(a.Peer.Barred) != 1 {
+		t.Errorf("read as %+v", got)
+	}
+}
+
+// A peer of a later version is understood as far as it says what is known.
+func TestALaterVersionsMessagesAreRead(t *testing.T) {
+	var sent newerAnswer
+	sent.Serial, sent.Answer.ID, sent.Answer.Peer.Version, sent.More = 9, "000007", 99, []string{"x"}
+	sent.Answer.Unsaid = map[string]string{"a": "b"}
+	var buf bytes.Buffer
+	if err := gob.NewEncoder(&buf).Encode(sent); err != nil {
+		t.Fatal(err)
+	}
+	var got peerAnswer
+	if err := gob.NewDecoder(&buf).Decode(&got); err != nil {
+		t.Fatal(err)
+	}
+	if got.Serial != 9 || got.Answer.ID != "000007" || got.Answer.Peer.Version != 99 {
+		t.Errorf("read as %+v", got)
+	}
+}
