--- a/cmd/sagevale/serve.go
+++ b/cmd/sagevale/serve.go
@@ -23,6 +23,7 @@
 func serve(ctx context.Context, s *coordination.Settings) error {
 	debug.SetMemoryLimit(int64(s.MemoryMB * heapShare * (1 << 20)))
 	log := newLogger().With("node", s.Node)
+	slog.SetDefault(log) // for the layers that are handed none
 	users, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return fmt.Errorf("serve_on: %w", err)
