--- a/internal/storage/ceiling.go
+++ b/internal/storage/ceiling.go
@@ -12,6 +12,8 @@
 type Ceiling struct {
 	next *Limits
 	now  atomic.Pointer[Limits]
+
+	lowered atomic.Bool // a request has been called malformed that once was none
 }
 
 // NewCeiling starts with the limits as they are said to be now.
@@ -43,10 +45,17 @@
 	if l == *old {
 		return false
 	}
+	if l.ValueBytes < old.ValueBytes {
+		c.lowered.Store(true)
+	}
 	c.now.Store(&l)
 	return true
 }
 
+// Lowered tells whether the service has shown that it takes less than it did, and
+// so that no version is left that doesn't know of that.
+func (c *Ceiling) Lowered() bool { return c.lowered.Load() }
+
 // lower returns the smaller limit; 0 says none.
 func lower[T int | float64](now, next T) T {
 	if next > 0 {
--- a/internal/storage/ceiling_test.go
+++ b/internal/storage/ceiling_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -19,9 +21,18 @@
 	return storage.NewCeiling(l)
 }
 
-// big is a record's data of so many bytes, with its number in it.
+// big is a record's data of so many bytes, with its number in it: of every other
+// number such as doesn't shrink.
 func big(i, bytes int) string {
-	return fmt.Sprintf("%d:%s", i, strings.Repeat(`"`, bytes/2)) // a quote takes two bytes
+	if i%2 == 0 {
+		return fmt.Sprintf("%d:%s", i, strings.Repeat(`"`, bytes/2)) // a quote takes two bytes
+	}
+	r := rand.New(rand.NewPCG(7, uint64(i)))
+	raw := make([]byte, bytes*3/4)
+	for k := range raw {
+		raw[k] = byte(r.Uint32())
+	}
+	return fmt.Sprintf("%d:%s", i, base64.StdEncoding.EncodeToString(raw))
 }
 
 // Limits that fall without notice once ended every term: each new leader began
@@ -42,6 +53,9 @@
 		}
 		for _, tx := range svc.Sent {
 			for _, op := range tx.Ops {
+				if op.Data != nil && op.Data[0] != '[' {
+					t.Errorf("compressed before the limits fell: %.60s", op.Data)
+				}
 				var pairs [][]json.RawMessage
 				if op.Data != nil && json.Unmarshal(op.Data, &pairs) == nil {
 					for _, p := range pairs {
@@ -101,7 +115,7 @@
 		}
 		n := 0
 		svc.Drop = func(storagetest.Txn) bool { n++; return n > 2 }
-		go func() { _ = write(map[string]any{"p1": big(2, 7000)}) }()
+		go func() { _ = write(map[string]any{"p1": big(5, 7000)}) }()
 		synctest.Wait()
 		for range 200 {
 			storage.Sleep(ctx, 100_000_000)
@@ -149,3 +163,44 @@
 		t.Error("learnt what isn't known")
 	}
 }
+
+// Under the lower limits commits took seconds: the pages of a few arrays filled
+// the budget. They are alike, and shrink.
+func TestUnderLowerLimitsChunksShrink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		svc, guard := lead(t)
+		svc.ValueBytes, svc.TxnOps = 2048, 4
+		ceiling := falling()
+		ceiling.Learn(storage.ErrMalformed)
+		_, write := openUnder(ctx, t, svc, ceiling, guard)
+		const rounds, pages = 20, 8
+		plain := 0
+		for round := range rounds {
+			batch := make(map[string]any)
+			for p := range pages {
+				var rec storage.PageRecord
+				for i := range storage.PageTasks / 2 {
+					rec.Attempts = append(rec.Attempts, storage.AttemptRecord{Task: i, Try: uint64(5<<24 + 1000*round + 40*p + i), Machine: 100 + (i*7+p)%90, Session: 1})
+				}
+				batch[storage.PageKey(fmt.Sprint(p), 0)] = rec
+				raw, _ := json.Marshal(rec)
+				plain += len(raw)
+			}
+			if err := write(batch); err != nil {
+				t.Fatal(err)
+			}
+		}
+		changes := 0
+		for _, tx := range svc.Sent {
+			changes += len(tx.Ops)
+		}
+		if least := plain / (2048 * 9 / 10); changes > least*6/10 {
+			t.Errorf("%d changes for what took %d whole", changes, least)
+		}
+		if got := reread(ctx, t, svc, guard); len(got) != pages {
+			t.Errorf("%d of %d pages read back", len(got), pages)
+		}
+	})
+}
--- a/internal/storage/journal.go
+++ b/internal/storage/journal.go
@@ -79,6 +79,9 @@
 	chunks    []chunkInfo
 	parts     map[string]*gathered // records of which not all parts are read or written
 	splits    uint64               // records that were written in parts
+	packs     bool                 // chunks are compressed
+	packer    packer
+	ratio     float64 // by which they are expected to shrink
 	next      uint64
 	last      uint64 // version of chunk next-1, 0 if unknown
 }
@@ -88,7 +91,7 @@
 func OpenJournal(ctx context.Context, svc StateService, ceiling *Ceiling, lead Guard) (*Journal, error) {
 	limits := ceiling.Limits()
 	j := &Journal{
-		svc: svc, ceiling: ceiling, limits: limits, lead: lead, parts: make(map[string]*gathered),
+		svc: svc, ceiling: ceiling, limits: limits, lead: lead, parts: make(map[string]*gathered), ratio: packsFirst,
 		limiter:  rate.NewLimiter(limits.pace()),
 		in:       make(chan Batch, 16),
 		entities: make(map[string]entity),
@@ -126,7 +129,11 @@
 		return fmt.Errorf("chunk key %q: %w", it.Key, err)
 	}
 	var records []Record
-	if err := json.Unmarshal(it.Data, &records); err != nil {
+	plain, err := unpack(it.Data)
+	if err != nil {
+		return fmt.Errorf("chunk %q: %w", it.Key, err)
+	}
+	if err := json.Unmarshal(plain, &records); err != nil {
 		return fmt.Errorf("chunk %q: %w", it.Key, err)
 	}
 	j.note(seq, records)
@@ -169,6 +176,7 @@
 	patience := j.limits.Patience
 	j.limits = j.ceiling.Limits()
 	j.limits.Patience = patience
+	j.packs = j.ceiling.Lowered()
 	limit, burst := j.limits.pace()
 	j.limiter.SetLimit(limit)
 	j.limiter.SetBurst(burst)
@@ -181,9 +189,9 @@
 func (j *Journal) fitted(records []Record) []Record {
 	out := records[:0:0]
 	for _, r := range records {
-		if r.part == nil && r.size()+2 > j.room() {
+		if r.part == nil && !j.fits(r) {
 			j.splits++
-			out = append(out, split(r, j.room(), j.lead.Version<<20|j.splits&(1<<20-1))...)
+			out = append(out, split(r, j.sureRoom(), j.lead.Version<<20|j.splits&(1<<20-1))...)
 		} else {
 			out = append(out, r)
 		}
@@ -310,37 +318,36 @@
 
 // cut takes from the records as many chunks as one transaction holds.
 func (j *Journal) cut(records []Record) (chunks []chunk, rest []Record, err error) {
-	limit := j.room()
 	total, ops := 0, max(1, j.limits.TxnOps/2)
-	var cur []Record
-	size := 2
-	flush := func() error {
-		if len(cur) == 0 {
-			return nil
+	for len(records) > 0 && len(chunks) < ops && (total == 0 || total+j.room() <= txnBytes) {
+		n := j.howMany(records)
+		full := n < len(records)
+		data, err := j.encode(records[:n])
+		for err == nil && len(data) > j.room() && n > 1 {
+			j.learnRatio(len(data), full)
+			n = max(1, min(n-1, j.howMany(records)))
+			data, err = j.encode(records[:n])
 		}
-		data, err := json.Marshal(cur)
 		if err != nil {
-			return fmt.Errorf("encode chunk: %w", err)
+			return nil, nil, err
 		}
-		chunks = append(chunks, chunk{cur, data})
+		j.learnRatio(len(data), full)
+		chunks = append(chunks, chunk{records[:n:n], data})
 		total += len(data)
-		cur, size = nil, 2
-		return nil
-	}
-	for i, r := range records {
-		n := r.size()
-		if size+n > limit && len(cur) > 0 {
-			if err := flush(); err != nil {
-				return nil, nil, err
-			}
-			if len(chunks) == ops || total+limit > txnBytes {
-				return chunks, records[i:], nil
-			}
+		records = records[n:]
+	}
+	return chunks, records, nil
+}
+
+// howMany of the first records are expected to fit into a chunk, at the least one.
+func (j *Journal) howMany(records []Record) int {
+	size, limit := 2, j.rawRoom()
+	for i := range records {
+		if size += records[i].size(); size > limit && i > 0 {
+			return i
 		}
-		cur = append(cur, r)
-		size += n
 	}
-	return chunks, nil, flush()
+	return len(records)
 }
 
 // write makes one transaction of the chunks, with cleaning where the budget
@@ -392,7 +399,7 @@
 // many of those may be deleted with them. Of an old chunk that is larger than the
 // budget or the service now allows for, a part is moved at a time.
 func (j *Journal) clean(chunks []chunk) ([]chunk, int) {
-	need := j.liveBytes/j.room() + 1
+	need := j.liveBytes/j.rawRoom() + 1
 	excess := len(j.chunks) - cleanFactor*need - cleanSlack
 	spare := int(j.limiter.Tokens()) / 2
 	if excess > cleanBehind {
--- a/internal/storage/mover.go
+++ b/internal/storage/mover.go
@@ -1,9 +1,9 @@
 package storage
 
-import (
-	"encoding/json"
-	"fmt"
-)
+import "errors"
+
+// errTooFull says that what was to be moved shrank less than expected.
+var errTooFull = errors.New("chunk too full")
 
 // mover packs the living records of old chunks into a transaction, behind what it
 // writes anyway, within the service's limits.
@@ -28,7 +28,7 @@
 	}
 	last := &m.chunks[len(chunks)-1]
 	last.records = last.records[:len(last.records):len(last.records)]
-	m.room = j.room() - len(last.data)
+	m.room = j.rawRoom() * (j.room() - len(last.data)) / j.room()
 	return m
 }
 
@@ -63,7 +63,7 @@
 	for _, p := range parts {
 		n := p.size()
 		if n > room {
-			puts, room = puts+1, m.journal.room()-2
+			puts, room = puts+1, m.journal.rawRoom()-2
 		}
 		room -= n
 		size += n
@@ -76,7 +76,7 @@
 		n := p.size()
 		if n > m.room {
 			m.chunks = append(m.chunks[:len(m.chunks):len(m.chunks)], chunk{})
-			m.room = m.journal.room() - 2
+			m.room = m.journal.rawRoom() - 2
 		}
 		m.room -= n
 		last := &m.chunks[len(m.chunks)-1]
@@ -89,9 +89,13 @@
 // encode returns the chunks with what was added.
 func (m *mover) encode() ([]chunk, error) {
 	for i := m.changed; i < len(m.chunks); i++ {
-		data, err := json.Marshal(m.chunks[i].records)
+		data, err := m.journal.encode(m.chunks[i].records)
 		if err != nil {
-			return nil, fmt.Errorf("encode chunk: %w", err)
+			return nil, err
+		}
+		if len(data) > m.journal.limits.ValueBytes {
+			m.journal.learnRatio(len(data), true)
+			return nil, errTooFull
 		}
 		m.chunks[i].data = data
 	}
