--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -443,3 +443,50 @@
 		}
 	})
 }
+
+// A start leaves only once its record is durable: a successor would not know where
+// the task is.
+func TestNoStartLeavesBeforeItsRecordIsDurable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		jobs := []*job{d.accept(service("000001", 1)), d.accept(gangOf("000002", 2))}
+		d.up(7, "cpu", "a", false)
+		d.placeRound(time.Now())
+		left := func() (n int) {
+			for _, j := range jobs {
+				for _, a := range j.attempts {
+					if a.direct != directNone {
+						n++
+					}
+				}
+			}
+			return n
+		}
+		if left() != 0 || len(jobs[0].attempts) != 1 || len(jobs[1].attempts) != 2 {
+			t.Errorf("%d starts left before their records", left())
+		}
+		clear(d.dirty)
+		d.inCommit, d.committed = d.committed, nil
+		d.handleCommitted(nil)
+		if left() != 3 {
+			t.Errorf("%d of 3 starts left after their records", left())
+		}
+	})
+}
+
+// A worker that knows a later term ends this one at once.
+func TestALaterTermEndsTheLead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		d.up(7, "cpu", "a", false)
+		if a := d.handleBeat(&Report{Machine: 7, Addr: "7", Type: "cpu", Zone: "a", Session: 1, Seq: 9, Token: d.term + 1}); a.Accepted {
+			t.Error("answered under the earlier term")
+		}
+		if d.certain(time.Now()) || len(d.resign) != 1 {
+			t.Error("leads on")
+		}
+		if a := d.handleBeat(&Report{Machine: 7, Addr: "7", Type: "cpu", Zone: "a", Session: 1, Seq: 10, Token: d.term}); a.Accepted {
+			t.Error("renews a lease after it has resigned")
+		}
+	})
+}
