--- a/internal/storage/journal.go
+++ b/internal/storage/journal.go
@@ -82,6 +82,7 @@
 	packs     bool                 // chunks are compressed
 	packer    packer
 	ratio     float64 // by which they are expected to shrink
+	moved     float64 // likewise what cleaning moves, which is of other kinds
 	next      uint64
 	last      uint64 // version of chunk next-1, 0 if unknown
 }
@@ -91,7 +92,7 @@
 func OpenJournal(ctx context.Context, svc StateService, ceiling *Ceiling, lead Guard) (*Journal, error) {
 	limits := ceiling.Limits()
 	j := &Journal{
-		svc: svc, ceiling: ceiling, limits: limits, lead: lead, parts: make(map[string]*gathered), ratio: packsFirst,
+		svc: svc, ceiling: ceiling, limits: limits, lead: lead, parts: make(map[string]*gathered), ratio: packsFirst, moved: packsFirst,
 		limiter:  rate.NewLimiter(limits.pace()),
 		in:       make(chan Batch, 16),
 		entities: make(map[string]entity),
@@ -341,7 +342,7 @@
 
 // howMany of the first records are expected to fit into a chunk, at the least one.
 func (j *Journal) howMany(records []Record) int {
-	size, limit := 2, j.rawRoom()
+	size, limit := 2, j.rawRoom(j.ratio)
 	for i := range records {
 		if size += records[i].size(); size > limit && i > 0 {
 			return i
@@ -399,7 +400,7 @@
 // many of those may be deleted with them. Of an old chunk that is larger than the
 // budget or the service now allows for, a part is moved at a time.
 func (j *Journal) clean(chunks []chunk) ([]chunk, int) {
-	need := j.liveBytes/j.rawRoom() + 1
+	need := j.liveBytes/j.rawRoom(j.moved) + 1
 	excess := len(j.chunks) - cleanFactor*need - cleanSlack
 	spare := int(j.limiter.Tokens()) / 2
 	if excess > cleanBehind {
@@ -414,8 +415,12 @@
 	}
 	moved, err := m.encode()
 	if err != nil {
+		j.moved = max(packsLeast, j.moved*3/4)
 		return chunks, 0
 	}
+	if n > 0 {
+		j.moved = min(packsMost, j.moved*33/32)
+	}
 	return moved, n
 }
 
--- a/internal/storage/mover.go
+++ b/internal/storage/mover.go
@@ -31,7 +31,7 @@
 	}
 	last := &m.chunks[len(chunks)-1] // ours: the caller may go on without what is moved
 	last.records = last.records[:len(last.records):len(last.records)]
-	m.room = j.rawRoom() * (j.room() - len(last.data)) / j.room()
+	m.room = j.rawRoom(j.moved) * (j.room() - len(last.data)) / j.room()
 	return m
 }
 
@@ -66,7 +66,7 @@
 	for _, p := range parts {
 		n := p.size()
 		if n > room {
-			puts, room = puts+1, m.journal.rawRoom()-2
+			puts, room = puts+1, m.journal.rawRoom(m.journal.moved)-2
 		}
 		room -= n
 		size += n
@@ -79,7 +79,7 @@
 		n := p.size()
 		if n > m.room {
 			m.chunks = append(m.chunks[:len(m.chunks):len(m.chunks)], chunk{})
-			m.room = m.journal.rawRoom() - 2
+			m.room = m.journal.rawRoom(m.journal.moved) - 2
 		}
 		m.room -= n
 		last := &m.chunks[len(m.chunks)-1]
@@ -97,7 +97,6 @@
 			return nil, err
 		}
 		if len(data) > m.journal.limits.ValueBytes {
-			m.journal.learnRatio(len(data), true)
 			return nil, errTooFull
 		}
 		m.chunks[i].data = data
--- a/internal/storage/packing.go
+++ b/internal/storage/packing.go
@@ -93,11 +93,11 @@
 }
 
 // rawRoom is how many bytes of records a chunk is expected to hold.
-func (j *Journal) rawRoom() int {
+func (j *Journal) rawRoom(ratio float64) int {
 	if !j.packs {
 		return j.room()
 	}
-	return int(float64(j.room()) * j.ratio)
+	return int(float64(j.room()) * ratio)
 }
 
 // sureRoom is how many bytes of records fit into a chunk whatever they are.
