--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -293,12 +293,7 @@
 		if len(best) == 0 {
 			return plan, tiers
 		}
-		pick := best[d.rand.IntN(len(best))]
-		for i := 1; i < samples; i++ {
-			if o := best[d.rand.IntN(len(best))]; o.freeShare(j) < pick.freeShare(j) {
-				pick = o
-			}
-		}
+		pick := d.sample(j, best)
 		pick.free = pick.free.Minus(j.spec.Room)
 		zones.add(pick.zone, 1)
 		plan, tiers = append(plan, pick), tiers+tier
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -178,10 +178,15 @@
 		r.dry.note(sh, zones, r.zones, len(r.slots))
 		return nil
 	}
-	pick := best[d.rand.IntN(len(best))]
+	return d.sample(j, best)
+}
+
+// sample returns the better of two random slots: the fuller, to pack.
+func (d *dispatcher) sample(j *job, slots []*slot) *slot {
+	pick := slots[d.rand.IntN(len(slots))]
 	for i := 1; i < samples; i++ {
-		if o := best[d.rand.IntN(len(best))]; o.freeShare(j) < pick.freeShare(j) {
-			pick = o // the fuller, to pack
+		if o := slots[d.rand.IntN(len(slots))]; o.freeShare(j) < pick.freeShare(j) {
+			pick = o
 		}
 	}
 	return pick
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -55,6 +55,24 @@
 	}
 }
 
+// Settings of before the change request start as they did; those of after it hold
+// the times of gangs and the limits that will be.
+func TestTheChangeRequestsSettingsMayBeLeftOut(t *testing.T) {
+	s, err := ParseSettings("s.toml", []byte(goodSettings))
+	if err != nil || s.State.Next != nil || s.GangWait != 0 || s.GangPeer != 0 {
+		t.Fatalf("misread: %+v, %v", s, err)
+	}
+	raw := strings.NewReplacer("cancel_s = 52.0", "cancel_s = 52.0\ngang_wait_s = 45.0\ngang_peer_s = 4.0",
+		"[params.cloud]", "[params.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\n[params.cloud]").Replace(goodSettings)
+	s, err = ParseSettings("s.toml", []byte(raw))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := s.State.Next; n == nil || n.ValueBytes != 2048 || n.TxnOps != 4 || n.ChangesPerS != 0 || s.GangWait != 45*time.Second || s.GangPeer != 4*time.Second {
+		t.Errorf("misread: %+v", s)
+	}
+}
+
 func TestWrongSettingsNameFileAndFieldInOneLine(t *testing.T) {
 	for _, tc := range []struct{ from, to, field string }{
 		{`zone = "a"`, ``, "zone"},
@@ -68,6 +86,10 @@
 		{`rps = 6.0`, ``, "params.cloud.rps"},
 		{`addr = "10.0.0.2:8081"`, `addr = "10.0.0.2"`, "seeds[0].addr"},
 		{`[params.quota]`, `[params.quota`, ""},
+		{`[params.cloud]`, "[params.state.next]\nvalue_kb = -2.0\n[params.cloud]", "params.state.next.value_kb"},
+		{`[params.cloud]`, "[params.state.next]\ntxn_ops = 1\n[params.cloud]", "params.state.next.txn_ops"},
+		{`[params.cloud]`, "[params.state.next]\nwrite_rps = \"few\"\n[params.cloud]", "write_rps"},
+		{`cancel_s = 52.0`, "cancel_s = 52.0\ngang_wait_s = -1.0", "params.workers.gang_wait_s"},
 	} {
 		raw := strings.Replace(goodSettings, tc.from, tc.to, 1)
 		if raw == goodSettings {
--- a/internal/storage/ceiling_test.go
+++ b/internal/storage/ceiling_test.go
@@ -37,7 +37,7 @@
 
 // Limits that fall without notice once ended every term: each new leader began
 // with a value that the service called malformed. What is stored stays readable,
-// is written smaller when it is written again, and the old chunks are cleaned away.
+// is written smaller when it is written again, and the old chunks are compacted away.
 func TestLimitsMayFallAtAnyMoment(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -60,7 +60,7 @@
 				if op.Data != nil && json.Unmarshal(op.Data, &pairs) == nil {
 					for _, p := range pairs {
 						if len(p) > 2 {
-							t.Errorf("in parts before the limits fell: %.60s", op.Data)
+							t.Errorf("in fragments before the limits fell: %.60s", op.Data)
 						}
 					}
 				}
@@ -101,7 +101,7 @@
 	})
 }
 
-// A leader that ends between the parts of a record leaves the one before in force.
+// A leader that ends between the fragments of a record leaves the one before in force.
 func TestAnUnfinishedRecordCountsForNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -205,10 +205,10 @@
 	})
 }
 
-// Cleaning counts on how far chunks shrink. Where what it moves shrinks less, it
+// Compaction counts on how far chunks shrink. Where what it moves shrinks less, it
 // must leave all as it was: records were once noted as moved that weren't, and lost
 // with their old chunk.
-func TestCleaningLosesNothingThatShrinksLess(t *testing.T) {
+func TestCompactionLosesNothingThatShrinksLess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
--- a/internal/storage/mover.go
+++ b/internal/storage/compaction.go
@@ -8,9 +8,9 @@
 // errTooFull says that what was to be moved shrank less than expected.
 var errTooFull = errors.New("chunk too full")
 
-// mover packs the living records of old chunks into a transaction, behind what it
+// compaction packs the living records of old chunks into a transaction, behind what it
 // writes anyway, within the service's limits.
-type mover struct {
+type compaction struct {
 	journal *Journal
 	chunks  []chunk
 	writing map[string]bool // keys that the transaction writes
@@ -21,8 +21,8 @@
 	changed int             // chunks from here on have to be encoded
 }
 
-func (j *Journal) mover(chunks []chunk, spare int) *mover {
-	m := &mover{journal: j, chunks: slices.Clone(chunks), writing: make(map[string]bool), ops: len(chunks), spare: spare, changed: len(chunks) - 1}
+func (j *Journal) compaction(chunks []chunk, spare int) *compaction {
+	m := &compaction{journal: j, chunks: slices.Clone(chunks), writing: make(map[string]bool), ops: len(chunks), spare: spare, changed: len(chunks) - 1}
 	for _, c := range chunks {
 		m.bytes += len(c.data)
 		for _, r := range c.records {
@@ -36,11 +36,11 @@
 }
 
 // mayAdd takes one more change from what is left, unless there is too little.
-func (m *mover) mayAdd(changes int) bool {
+func (m *compaction) mayAdd(changes int) bool {
 	return m.spare >= changes && m.ops+changes <= m.journal.limits.TxnOps
 }
 
-func (m *mover) delete() bool {
+func (m *compaction) delete() bool {
 	if !m.mayAdd(1) {
 		return false
 	}
@@ -50,7 +50,7 @@
 }
 
 // moveAll moves records as far as that goes, and tells whether it was all.
-func (m *mover) moveAll(records []Record) bool {
+func (m *compaction) moveAll(records []Record) bool {
 	for _, r := range records {
 		if !m.move(m.journal.fitted([]Record{r})) {
 			return false
@@ -60,10 +60,10 @@
 	return true
 }
 
-// move moves one record, in its parts: all of them or none.
-func (m *mover) move(parts []Record) bool {
+// move moves one record, in its fragments: all of them or none.
+func (m *compaction) move(fragments []Record) bool {
 	puts, size, room := 0, 0, m.room
-	for _, p := range parts {
+	for _, p := range fragments {
 		n := p.size()
 		if n > room {
 			puts, room = puts+1, m.journal.rawRoom(m.journal.moved)-2
@@ -75,7 +75,7 @@
 	if puts > 0 && !m.mayAdd(puts) || m.bytes+size > txnBytes {
 		return false
 	}
-	for _, p := range parts {
+	for _, p := range fragments {
 		n := p.size()
 		if n > m.room {
 			m.chunks = append(m.chunks[:len(m.chunks):len(m.chunks)], chunk{})
@@ -90,7 +90,7 @@
 }
 
 // encode returns the chunks with what was added.
-func (m *mover) encode() ([]chunk, error) {
+func (m *compaction) encode() ([]chunk, error) {
 	for i := m.changed; i < len(m.chunks); i++ {
 		data, err := m.journal.encode(m.chunks[i].records)
 		if err != nil {
--- a/internal/storage/journal.go
+++ b/internal/storage/journal.go
@@ -15,7 +15,7 @@
 
 // The journal keeps the records in numbered chunks. A commit writes the
 // latest state of the changed entities into a new chunk; on reading, the
-// later record of an entity wins. Old chunks are cleaned oldest first: what
+// later record of an entity wins. Old chunks are compacted oldest first: what
 // still lives in them is written again with a commit that deletes them.
 
 const (
@@ -26,15 +26,15 @@
 	changeShare = 0.7
 	// txnBytes bounds one transaction, under the protocol's 64 KiB.
 	txnBytes = 56 << 10
-	// cleanFactor: chunks are cleaned when there are more than this many times
-	// what the living records need, plus cleanSlack.
-	cleanFactor = 2
-	cleanSlack  = 24
-	// cleanBehind chunks too many are a load that a take-over feels; then each
-	// commit takes at least cleanForced changes to clean, though that delays the
+	// compactFactor: chunks are compacted when there are more than this many times
+	// what the living records need, plus compactSlack.
+	compactFactor = 2
+	compactSlack  = 24
+	// compactBehind chunks too many are a load that a take-over feels; then each
+	// commit takes at least compactForced changes to compact, though that delays the
 	// next.
-	cleanBehind = 4 * cleanSlack
-	cleanForced = 2 // its living records into a new one, and its deletion
+	compactBehind = 4 * compactSlack
+	compactForced = 2 // its living records into a new one, and its deletion
 	// listPatience is how many times the patience for a request a page may take:
 	// it is large, and to be understood.
 	listPatience = 8
@@ -77,12 +77,12 @@
 	entities  map[string]entity
 	liveBytes int
 	chunks    []chunkInfo
-	parts     map[string]*gathered // records of which not all parts are read or written
-	splits    uint64               // records that were written in parts
+	parts     map[string]*gathered // records of which not all fragments are read or written
+	splits    uint64               // records that were written in fragments
 	packs     bool                 // chunks are compressed
 	packer    packer
 	ratio     float64 // by which they are expected to shrink
-	moved     float64 // likewise what cleaning moves, which is of other kinds
+	moved     float64 // likewise what compaction moves, which is of other kinds
 	next      uint64
 	last      uint64 // version of chunk next-1, 0 if unknown
 }
@@ -147,8 +147,8 @@
 	info := chunkInfo{seq: seq}
 	for _, r := range records {
 		chunk, data := seq, r.Data
-		if r.part != nil {
-			if r.part.index == 0 {
+		if r.fragment != nil {
+			if r.fragment.index == 0 {
 				info.keys = append(info.keys, r.Key)
 			}
 			var whole bool
@@ -186,11 +186,11 @@
 // room is how many bytes of records a chunk holds.
 func (j *Journal) room() int { return int(float64(j.limits.ValueBytes) * valueShare) }
 
-// fitted returns the records with those in parts that are too large for a chunk.
+// fitted returns the records with those in fragments that are too large for a chunk.
 func (j *Journal) fitted(records []Record) []Record {
 	out := records[:0:0]
 	for _, r := range records {
-		if r.part == nil && !j.fits(r) {
+		if r.fragment == nil && !j.fits(r) {
 			j.splits++
 			out = append(out, split(r, j.sureRoom(), j.lead.Version<<20|j.splits&(1<<20-1))...)
 		} else {
@@ -202,8 +202,8 @@
 
 // size is what a record takes in a chunk, at the most.
 func (r *Record) size() int {
-	if r.part != nil {
-		return len(r.Key) + partFrame + (len(r.part.piece)+2)/3*4
+	if r.fragment != nil {
+		return len(r.Key) + fragmentFrame + (len(r.fragment.piece)+2)/3*4
 	}
 	return len(r.Key) + len(r.Data) + 8
 }
@@ -351,17 +351,17 @@
 	return len(records)
 }
 
-// write makes one transaction of the chunks, with cleaning where the budget
+// write makes one transaction of the chunks, with compaction where the budget
 // allows, and repeats it until its outcome is known.
 //
 // A transaction may be applied late or twice. Each one demands that its first
 // chunk doesn't exist and that the chunk before it does, in the version that
 // was written: so a repeat finds its own chunk, and one that comes after that
-// chunk has been cleaned away finds its predecessor gone.
+// chunk has been compacted away finds its predecessor gone.
 func (j *Journal) write(ctx context.Context, chunks []chunk) error {
 	if j.last == 0 {
 		// The very first chunk has none before it, so its transaction may be
-		// applied again once it is cleaned away: it must be empty.
+		// applied again once it is compacted away: it must be empty.
 		version, err := j.settle(ctx, []Guard{j.lead, {Key: chunkKey(j.next)}}, []Op{{Key: chunkKey(j.next), Data: json.RawMessage("[]")}})
 		if err != nil {
 			return err
@@ -369,8 +369,8 @@
 		j.note(j.next, nil)
 		j.next, j.last = j.next+1, version
 	}
-	chunks, cleaned := j.clean(chunks)
-	if n := len(chunks) + cleaned - 1; n > 0 {
+	chunks, compacted := j.compact(chunks)
+	if n := len(chunks) + compacted - 1; n > 0 {
 		if err := j.limiter.WaitN(ctx, min(n, j.limiter.Burst())); err != nil {
 			return err
 		}
@@ -380,14 +380,14 @@
 	for i, c := range chunks {
 		ops = append(ops, Op{Key: chunkKey(j.next + uint64(i)), Data: c.data})
 	}
-	for _, c := range j.chunks[:cleaned] {
+	for _, c := range j.chunks[:compacted] {
 		ops = append(ops, Op{Key: chunkKey(c.seq), Delete: true})
 	}
 	version, err := j.settle(ctx, guards, ops)
 	if err != nil {
 		return err
 	}
-	j.forget(cleaned)
+	j.forget(compacted)
 	for i, c := range chunks {
 		j.note(j.next+uint64(i), c.records)
 	}
@@ -396,20 +396,20 @@
 	return nil
 }
 
-// clean adds to the chunks what still lives in the oldest ones and returns how
+// compact adds to the chunks what still lives in the oldest ones and returns how
 // many of those may be deleted with them. Of an old chunk that is larger than the
 // budget or the service now allows for, a part is moved at a time.
-func (j *Journal) clean(chunks []chunk) ([]chunk, int) {
+func (j *Journal) compact(chunks []chunk) ([]chunk, int) {
 	need := j.liveBytes/j.rawRoom(j.moved) + 1
-	excess := len(j.chunks) - cleanFactor*need - cleanSlack
+	excess := len(j.chunks) - compactFactor*need - compactSlack
 	spare := int(j.limiter.Tokens()) / 2
-	if excess > cleanBehind {
-		spare = max(spare, cleanForced)
+	if excess > compactBehind {
+		spare = max(spare, compactForced)
 	}
 	if excess <= 0 || spare <= 0 {
 		return chunks, 0
 	}
-	m := j.mover(chunks, spare)
+	m := j.compaction(chunks, spare)
 	n := 0
 	for most := min(excess, len(j.chunks)-1); n < most && m.moveAll(j.living(n, m.writing)) && m.delete(); n++ {
 	}
--- a/internal/storage/journal_test.go
+++ b/internal/storage/journal_test.go
@@ -89,7 +89,7 @@
 	})
 }
 
-// Transactions may be applied late or again, after their chunk was cleaned away.
+// Transactions may be applied late or again, after their chunk was compacted away.
 func TestARepeatedTransactionIsWithoutEffect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/storage/packing.go
+++ b/internal/storage/packing.go
@@ -10,7 +10,7 @@
 
 // Once the service takes less than it did, chunks are compressed: records are
 // many alike, and what a commit takes of the budget falls to a third. Like records
-// in parts, a compressed chunk is nothing that versions before this one can read.
+// in fragments, a compressed chunk is nothing that versions before this one can read.
 
 // inflateLimit bounds what one chunk may be unpacked to.
 const inflateLimit = 1 << 20
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -154,9 +154,9 @@
 
 // Record is one entity's latest lasting state. Nil data removes the entity.
 type Record struct {
-	Key  string
-	Data json.RawMessage
-	part *part // a piece of the data instead of all of it; nil: all
+	Key      string
+	Data     json.RawMessage
+	fragment *fragment // a piece of the data instead of all of it; nil: all
 }
 
 // NewRecord encodes data under key; nil data removes the entity.
@@ -173,8 +173,8 @@
 
 // MarshalJSON writes a record as the compact pair [key, data].
 func (r Record) MarshalJSON() ([]byte, error) {
-	if r.part != nil {
-		return r.part.marshal(r.Key)
+	if r.fragment != nil {
+		return r.fragment.marshal(r.Key)
 	}
 	if r.Data == nil {
 		return json.Marshal([]string{r.Key})
@@ -188,19 +188,19 @@
 	if err := json.Unmarshal(b, &pair); err != nil {
 		return err
 	}
-	if len(pair) == 0 || len(pair) > 2 && len(pair) != partFields {
+	if len(pair) == 0 || len(pair) > 2 && len(pair) != fragmentFields {
 		return fmt.Errorf("a record has %d parts", len(pair))
 	}
 	if err := json.Unmarshal(pair[0], &r.Key); err != nil {
 		return err
 	}
-	r.Data, r.part = nil, nil
+	r.Data, r.fragment = nil, nil
 	switch len(pair) {
 	case 2:
 		r.Data = pair[1]
-	case partFields:
+	case fragmentFields:
 		var err error
-		r.part, err = unmarshalPart(pair)
+		r.fragment, err = unmarshalFragment(pair)
 		return err
 	}
 	return nil
