--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -274,9 +274,12 @@
 		})
 		began := time.Now()
 		w.submit(service("000001", 1))
-		if took := time.Since(began); took > 2*time.Second || n < 2 {
-			t.Errorf("accepted after %v, with %d transactions", took, n)
-		}
+		took := time.Since(began)
+		w.state.Trouble(func(s *storagetest.Service) {
+			if took > 2*time.Second || n < 2 {
+				t.Errorf("accepted after %v, with %d transactions", took, n)
+			}
+		})
 	})
 }
 
--- a/internal/coordination/production_test.go
+++ b/internal/coordination/production_test.go
@@ -29,6 +29,7 @@
 	var items []storage.Item
 	frozen(t, "store.json", &items)
 	inWorld(t, func(w *world) {
+		w.awaitLeader()
 		for _, n := range w.nodes {
 			n.kill()
 		}
--- a/internal/storage/ceiling_test.go
+++ b/internal/storage/ceiling_test.go
@@ -114,17 +114,17 @@
 			t.Fatal(err)
 		}
 		n := 0
-		svc.Drop = func(storagetest.Txn) bool { n++; return n > 2 }
+		svc.Trouble(func(s *storagetest.Service) { s.Drop = func(storagetest.Txn) bool { n++; return n > 2 } })
 		go func() { _ = write(map[string]any{"p1": big(5, 7000)}) }()
 		synctest.Wait()
 		for range 200 {
 			storage.Sleep(ctx, 100_000_000)
 		}
 		cancel()
+		svc.Trouble(func(s *storagetest.Service) { s.Drop = nil })
 		if n < 3 {
 			t.Fatalf("%d transactions", n)
 		}
-		svc.Drop = nil
 		ctx, cancel = context.WithCancel(context.Background())
 		defer cancel()
 		want, _ := json.Marshal(big(1, 6000))
