--- a/internal/coordination/gang_test.go
+++ b/internal/coordination/gang_test.go
@@ -357,3 +357,114 @@
 		}
 	})
 }
+
+// gangOn enters a gang's attempt with a task on each of the machines.
+func (d *dispatcher) gangOn(spec storage.Spec, state TaskState, machines ...*machine) *job {
+	j := d.accept(spec)
+	for i, m := range machines {
+		d.enter(&attempt{job: j, task: i, try: 9, on: m, session: 1, mine: true, durable: true, seen: true, state: state, booked: time.Now(), started: time.Now(), gathers: time.Now()})
+	}
+	d.nextTry = 9
+	j.gang.ran = state == Running
+	return j
+}
+
+// A loss ends an attempt that has run: the rest is stopped at once, and nothing is
+// begun before all of it is gone.
+func TestALossEndsAnAttemptThatRan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		j := d.gangOn(gangOf("000001", 3), Running, d.up(1, "cpu", "a", false), d.up(2, "cpu", "a", false), d.up(3, "cpu", "a", false))
+		d.up(4, "cpu", "a", false)
+		d.free(j.attempts[0], "its machine is gone")
+		for _, a := range j.gangAttempts() {
+			if !a.stop || a.graceS != 0 {
+				t.Errorf("task %d goes on: %+v", a.task, a)
+			}
+		}
+		d.placeRound(time.Now())
+		if len(j.attempts) != 2 {
+			t.Errorf("%d attempts while the earlier one isn't over", len(j.attempts))
+		}
+		for _, a := range j.gangAttempts() {
+			d.free(a, "ended")
+		}
+		d.placeRound(time.Now())
+		if len(j.attempts) != 3 || j.attempts[0].try == 9 {
+			t.Errorf("begun anew as %+v", j.gang)
+		}
+	})
+}
+
+// A worker that knows an attempt's end doesn't start it again: the replacement
+// under the same number goes elsewhere.
+func TestAReplacementGoesWhereItsNumberIsNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		one, two := d.up(1, "cpu", "a", false), d.up(2, "cpu", "a", false)
+		j := d.gangOn(gangOf("000001", 2), Gathering, one, one)
+		d.ended(j.attempts[0], TaskReport{ID: TaskID{"000001", 0}, Try: 9, State: Ended, Cause: CauseStopped}, time.Now())
+		if len(j.attempts) != 1 {
+			t.Fatalf("%d attempts are left", len(j.attempts))
+		}
+		two.images["img"] = image{} // as good a place
+		d.placeRound(time.Now())
+		if a := j.attempts[0]; a == nil || a.on != two || a.try != 9 {
+			t.Errorf("replaced by %+v", a)
+		}
+	})
+}
+
+func TestOneDoneIsAllDone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t, grownSettings())
+		m := d.up(1, "cpu", "a", false)
+		j := d.gangOn(gangOf("000001", 3), Running, m, m, m)
+		d.ended(j.attempts[1], TaskReport{ID: TaskID{"000001", 1}, Try: 9, State: Ended, Cause: CauseDone}, time.Now())
+		if j.done != 3 || j.phase != storage.Done {
+			t.Errorf("%d of 3 done, phase %v", j.done, j.phase)
+		}
+	})
+}
+
+// One task whose image doesn't come keeps its whole gang waiting, until all of it
+// gives up.
+func TestATaskThatDoesntComeIsLookedForElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := grownSettings()
+		s.GangWait = 45 * time.Second
+		d := newDesk(t, s)
+		one, two := d.up(1, "cpu", "a", false), d.up(2, "cpu", "a", false)
+		j := d.gangOn(gangOf("000001", 2), Gathering, one, two)
+		j.attempts[1].state = Pulling
+		if d.tendGangs(time.Now()); j.attempts[1].stop {
+			t.Error("given up at once")
+		}
+		time.Sleep(s.GangWait / 2)
+		if d.tendGangs(time.Now()); j.attempts[0].stop || !j.attempts[1].stop {
+			t.Errorf("the waiting one: %v, the other: %v", j.attempts[0].stop, j.attempts[1].stop)
+		}
+	})
+}
+
+// A gang beyond what its team may use now takes nothing and stops nothing.
+func TestAGangWaitsForItsTeamsLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := grownSettings()
+		s.Teams = append(s.Teams, Team{Name: "small", Limit: storage.Room{GPUs: 2}})
+		d := newDesk(t, s)
+		m := d.up(1, "gpu", "a", false)
+		other := d.gangOn(onLimit(gangOf("000001", 1)), Running, m)
+		j := d.accept(onLimit(gangOf("000002", 2)))
+		d.placeRound(time.Now())
+		if len(j.attempts) != 0 || d.gangDemand(j, s.team("small"), make(map[string]storage.Room)) != 0 {
+			t.Error("placed, or rented for, beyond the limit")
+		}
+		d.free(other.attempts[0], "ended")
+		other.pauseTill = time.Now().Add(time.Hour)
+		d.placeRound(time.Now())
+		if len(j.attempts) != 2 {
+			t.Errorf("%d of 2 placed within the limit", len(j.attempts))
+		}
+	})
+}
--- a/internal/storage/ceiling_test.go
+++ b/internal/storage/ceiling_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"sagevale/internal/storage"
 	"sagevale/internal/storage/storagetest"
@@ -246,3 +248,41 @@
 		}
 	})
 }
+
+// Fragments of two writings of a record are never joined.
+func TestFragmentsOfTwoWritingsStayApart(t *testing.T) {
+	ctx := context.Background()
+	svc, guard := lead(t)
+	for i, value := range []string{`[["p1","MQ==",0,2,7]]`, `[["p1","Mg==",1,2,8]]`, `[["p2","MQ==",0,2,9]]`, `[["p2","Mg==",1,2,9]]`} {
+		if _, err := svc.Apply(nil, []storage.Op{{Key: fmt.Sprintf("log/%012d", i+1), Data: json.RawMessage(value)}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := reread(ctx, t, svc, guard); len(got) != 1 || got["p2"] != "12" {
+		t.Errorf("read back %v", got)
+	}
+}
+
+// A transaction without an answer, whose repeat is called malformed, may stand: the
+// commit must not be cut again over it. The successor reads what there is.
+func TestLimitsThatFallBehindALostAnswerEndTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		svc, guard := lead(t)
+		_, write := openUnder(ctx, t, svc, falling(), guard)
+		if err := write(map[string]any{"a": 1}); err != nil {
+			t.Fatal(err)
+		}
+		svc.Trouble(func(s *storagetest.Service) {
+			s.LoseAnswers = 1
+			time.AfterFunc(10_000_000, func() { svc.Trouble(func(s *storagetest.Service) { s.ValueBytes, s.TxnOps = 2048, 4 }) })
+		})
+		if err := write(map[string]any{"b": big(1, 3000), "c": big(2, 3000)}); err == nil || errors.Is(err, storage.ErrMalformed) {
+			t.Errorf("committed with %v", err)
+		}
+		if got := reread(ctx, t, svc, guard); len(got) != 3 {
+			t.Errorf("the successor reads %d of 3 records", len(got))
+		}
+	})
+}
