--- a/internal/coordination/gang_test.go
+++ b/internal/coordination/gang_test.go
@@ -403,11 +403,12 @@
 		d := newDesk(t, grownSettings())
 		one, two := d.up(1, "cpu", "a", false), d.up(2, "cpu", "a", false)
 		j := d.gangOn(gangOf("000001", 2), Gathering, one, one)
+		j.attempts[0].state = Ended
 		d.ended(j.attempts[0], TaskReport{ID: TaskID{"000001", 0}, Try: 9, State: Ended, Cause: CauseStopped}, time.Now())
 		if len(j.attempts) != 1 {
 			t.Fatalf("%d attempts are left", len(j.attempts))
 		}
-		two.images["img"] = image{} // as good a place
+		one.images["img"] = image{gb: 1} // the better place, but for that
 		d.placeRound(time.Now())
 		if a := j.attempts[0]; a == nil || a.on != two || a.try != 9 {
 			t.Errorf("replaced by %+v", a)
@@ -437,11 +438,12 @@
 		one, two := d.up(1, "cpu", "a", false), d.up(2, "cpu", "a", false)
 		j := d.gangOn(gangOf("000001", 2), Gathering, one, two)
 		j.attempts[1].state = Pulling
-		if d.tendGangs(time.Now()); j.attempts[1].stop {
+		d.viewAt = time.Now().Add(time.Hour) // no look at the fleet here
+		if d.tick(); j.attempts[1].stop {
 			t.Error("given up at once")
 		}
-		time.Sleep(s.GangWait / 2)
-		if d.tendGangs(time.Now()); j.attempts[0].stop || !j.attempts[1].stop {
+		time.Sleep(s.GangWait * 45 / 100) // within the machines' leases
+		if d.tick(); j.attempts[0].stop || !j.attempts[1].stop {
 			t.Errorf("the waiting one: %v, the other: %v", j.attempts[0].stop, j.attempts[1].stop)
 		}
 	})
