Versions agree on what is in force: registrations, a cluster record, feature gates

Need: what new code may write or do was decided by one process alone, by a once-only switch. Now each controller registers the versions it reads and writes, and the leader moves one durable record a guarded step at a time. Gang jobs and compressed chunks stand behind gates; a gate in use fences the term record, which versions that don't register can't read, so that they follow but don't lead. Going back withdraws gates, migrates encoded chunks and lowers the version in steps that any later leader goes on with.

--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sagevale/internal/storage"
+	"sagevale/internal/upgrade"
 )
 
 const (
@@ -33,7 +34,8 @@
 	deps        Deps
 	term        uint64
 	role        Role
-	upgraded    bool                      // all nodes are of this version
+	gates       upgrade.Record            // what is in force
+	requestGate func(upgrade.GateName)    // asks for a gate to be taken into use
 	resigned    bool                      // the lead has been given up
 	certainTill atomic.Pointer[time.Time] // role.Certain, for those who pass answers on
 	journal     *storage.Journal
@@ -105,6 +107,10 @@
 		outcome      Outcome
 		report       *Report
 	}
+	gatesMsg struct {
+		record upgrade.Record
+		reply  chan int // the open gangs
+	}
 	committedMsg struct{ err error }
 	catalogueMsg struct{ types []storage.MachineType }
 	listMsg      struct{ machines []Listed }
@@ -131,6 +137,7 @@
 		nextTry: role.Term * tryStride, refused: make(map[offer]time.Time),
 		dirty: make(map[string]func() any), removed: make(map[int]bool), place: true,
 		delegator: newDelegator(s), unreached: make(map[int]bool), sinceHeartbeat: func() time.Duration { return 0 },
+		gates: role.cluster.record, requestGate: func(upgrade.GateName) {},
 	}
 	d.setRole(role)
 	return d, d.load(journal.Records())
@@ -278,6 +285,9 @@
 		d.handleDirect(m)
 	case committedMsg:
 		d.handleCommitted(m.err)
+	case gatesMsg:
+		d.gates = m.record
+		m.reply <- d.openGangs()
 	case catalogueMsg:
 		d.setTypes(m.types)
 		d.mark(storage.CatalogueKey, func() any { return m.types })
@@ -303,21 +313,6 @@
 // certain tells whether this node surely leads now.
 func (d *dispatcher) certain(now time.Time) bool { return now.Before(d.role.Certain) }
 
-// noteVersions tells the operators once all nodes are of this version: from here on
-// what it alone understands may be asked. A node that can't be heard may be an old one.
-func (d *dispatcher) noteVersions() {
-	if d.upgraded {
-		return
-	}
-	for _, p := range d.settings.Peers {
-		if w, ok := d.deps.Peers.Status(p.Name); !ok || w.Version < PeerVersion {
-			return
-		}
-	}
-	d.upgraded = true
-	d.log.Info("all nodes are of this version", "peer_version", PeerVersion)
-}
-
 // tick does what the clock asks for.
 func (d *dispatcher) tick() {
 	now := time.Now()
@@ -325,7 +320,6 @@
 		d.failWaiting(Unavailable("", "state service slow or out of reach"))
 	}
 	d.updatePeerRenewals()
-	d.noteVersions()
 	d.expire(now)
 	d.tendGangs(now)
 	d.renewToken(now)
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sagevale/internal/storage"
+	"sagevale/internal/upgrade"
 )
 
 // writeShare of the leader's grant is how long the journal waits for an answer
@@ -39,6 +40,7 @@
 	settings     *Settings
 	deps         Deps
 	lead         *leadership
+	membership   *membership
 	relay        *relayClient
 	forwarder    *forwarder
 	limitTracker *storage.LimitTracker
@@ -62,6 +64,8 @@
 		run:    fmt.Sprintf("%016x", deps.Rand.Uint64()),
 		resign: make(chan resignation, 4), peers: deps.Peers, began: time.Now(),
 	}
+	n.membership = &membership{svc: deps.State, settings: s, session: n.lead.run, log: deps.Log}
+	n.lead.registered = n.membership.registered.Load
 	n.relay = newRelayClient(s, deps, n.limitTracker)
 	n.forwarder = newForwarder(n)
 	n.view.Store(&view{})
@@ -77,7 +81,8 @@
 		case <-ctx.Done():
 		}
 	}
-	g.Go(func() error { n.lead.Run(ctx); return nil })
+	g.Go(func() error { return n.membership.Run(ctx) })
+	g.Go(func() error { return n.lead.Run(ctx) })
 	g.Go(func() error { n.follow(ctx); return nil })
 	g.Go(func() error { n.relay.run(ctx); return nil })
 	g.Go(func() error { n.forwarder.run(ctx); return nil })
@@ -153,12 +158,18 @@
 	c := newCapacity(n.settings, n.deps, role.Term, d, journal, log)
 	d.capacity = c
 	d.sinceHeartbeat = func() time.Duration { return n.forwarder.lastHeartbeat.since(time.Since(n.lead.began)) }
+	u := newUpgradeController(n.settings, n.deps, role, termGates{d, journal}, log)
+	d.requestGate = u.requestUse
+	d.gates = role.cluster.record
+	journal.OnEncodingNeeded(func() { u.requestUse(upgrade.CompressedChunks) })
+	journal.SetEncoding(encodingOf(role.cluster.record))
 	log.Info("take-over", "jobs", len(d.jobs), "machines", len(d.machines), "attempts", d.reservations.Attempts(), "took", time.Since(started))
 	g, gctx := errgroup.WithContext(ctx)
 	d.ctx, c.ctx = gctx, gctx // before any of the actors can speak to another
 	g.Go(func() error { return journal.Run(gctx) })
 	g.Go(func() error { return d.run(gctx) })
 	g.Go(func() error { return c.run(gctx) })
+	g.Go(func() error { return u.run(gctx) })
 	g.Go(func() error { newRelayServer(n.settings, n.deps, n.limitTracker, role.Guard, d).run(gctx); return nil })
 	select {
 	case loaded <- d:
--- a/internal/coordination/ports.go
+++ b/internal/coordination/ports.go
@@ -153,12 +153,12 @@
 	DelegatesFor          time.Duration // if it leads: how long the asker may renew leases alone
 	DelegationTerm        uint64        // under that token
 	Excluded              []int         // but not these machines'
-	Version               int           // of what it writes and sends; 0: one that doesn't tell
+	Version               int           // what it tells of its version: see PeerVersion
 }
 
-// PeerVersion is this version's: the first that begins gangs by the page of the
-// change request, and may write records in parts.
-const PeerVersion = 2
+// PeerVersion is what a process tells that registers its versions in the state service,
+// where the rest stands. Commit af96c21 told 2, and 3661d31 nothing.
+const PeerVersion = 3
 
 // Outcome tells what became of a direct command.
 type Outcome int
--- a/internal/coordination/settings.go
+++ b/internal/coordination/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sagevale/internal/storage"
+	"sagevale/internal/upgrade"
 )
 
 // Peer is another controller node.
@@ -65,6 +66,7 @@
 	GrowStep           int           // machines per growth step of a small fleet
 	LeaderLease        time.Duration // life of the leadership grant
 	HeadroomDeviations float64       // standard deviations of arrivals to keep room for
+	Upgrade            upgrade.Settings
 }
 
 // growBound is the most machines that one step may rent: the operators' figure,
@@ -89,6 +91,7 @@
 	leaderPerLease  = 0.08
 	growStepDefault = 4 * maxRental // DESIGN starts at 4
 	headroomDefault = 1.0
+	soakPerLease    = 30
 
 	// driftBound covers the workers' and our own steady clocks.
 	driftBound = 1.002
@@ -109,13 +112,24 @@
 		GrowStep:           growStepDefault,
 		LeaderLease:        scale(s.Lease, leaderPerLease),
 		HeadroomDeviations: headroomDefault,
+		Upgrade:            s.defaultUpgrade(),
 	}
 }
 
+// defaultUpgrade is the policy that finalizes nothing by itself.
+func (s *Settings) defaultUpgrade() upgrade.Settings {
+	settings := upgrade.DefaultSettings()
+	settings.Policy.Soak = scale(s.Lease, soakPerLease)
+	return settings
+}
+
 func scale(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// callTime is the longest that one call of the leadership may take.
+func (s *Settings) callTime() time.Duration { return scale(s.Tuning.LeaderLease, callShare) }
+
 // hold is how long after the end of its own grant a leader may still renew
 // the leases of workers: a successor that acknowledges a cancel the moment the
 // grant ends must see the tasks gone within cancel_s, even where the workers
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sagevale/internal/storage"
+	"sagevale/internal/upgrade"
 )
 
 // waiter is a user whose answer hangs on a commit.
@@ -105,6 +106,10 @@
 			m.reply <- Answer{Code: CodeUnfit, ID: spec.ID, Reason: reason}
 			return
 		}
+		if spec.Gang && !d.mayUse(upgrade.GangJobs) {
+			m.reply <- Unavailable(spec.ID, "not every controller is known to have gang jobs yet")
+			return
+		}
 		if d.openTasks+spec.Tasks > d.settings.maxTasks() {
 			m.reply <- Answer{Code: CodeBusy, ID: spec.ID, Reason: "too many tasks are waiting", RetryS: int(d.settings.Lease.Seconds())}
 			return
--- a/internal/storage/compaction.go
+++ b/internal/storage/compaction.go
@@ -52,6 +52,9 @@
 // moveAll moves records as far as that goes, and tells whether it was all.
 func (m *compaction) moveAll(records []Record) bool {
 	for _, r := range records {
+		if !m.journal.mayWrite(PlainWherePossible) && !m.journal.fits(r) {
+			return false // it would go in fragments
+		}
 		if !m.move(m.journal.fragmentLarge([]Record{r})) {
 			return false
 		}
--- a/internal/storage/journal.go
+++ b/internal/storage/journal.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -68,22 +69,27 @@
 	fragmented       uint64                    // records that were written in fragments
 	compress         bool                      // chunks are compressed
 	compressor       compressor
-	compressionRatio float64 // by which they are expected to shrink
-	compactionRatio  float64 // likewise what compaction moves, which is of other kinds
+	compressionRatio float64      // by which they are expected to shrink
+	compactionRatio  float64      // likewise what compaction moves, which is of other kinds
+	encoding         atomic.Int32 // an Encoding
+	encodingNeeded   func()
+	migrations       chan migration
 	next             uint64
 	last             uint64 // version of chunk next-1, 0 if unknown
 }
 
 // OpenJournal reads all chunks; lead is the leadership key with the version
 // that every write is guarded by.
-func OpenJournal(ctx context.Context, svc StateService, ceiling *LimitTracker, lead Guard) (*Journal, error) {
-	limits := ceiling.Limits()
+func OpenJournal(ctx context.Context, svc StateService, limitTracker *LimitTracker, lead Guard) (*Journal, error) {
+	limits := limitTracker.Limits()
 	j := &Journal{
-		svc: svc, limitTracker: ceiling, limits: limits, lead: lead, partial: make(map[string]*partialRecord), compressionRatio: initialRatio, compactionRatio: initialRatio,
+		svc: svc, limitTracker: limitTracker, limits: limits, lead: lead, partial: make(map[string]*partialRecord), compressionRatio: initialRatio, compactionRatio: initialRatio,
 		limiter:  rate.NewLimiter(limits.pace()),
 		in:       make(chan Batch, 16),
 		entities: make(map[string]entity),
 		next:     1,
+
+		migrations: make(chan migration), encodingNeeded: func() {},
 	}
 	after := ""
 	for {
@@ -121,7 +127,10 @@
 	patience := j.limits.RequestTimeout
 	j.limits = j.limitTracker.Limits()
 	j.limits.RequestTimeout = patience
-	j.compress = j.limitTracker.Lowered()
+	j.compress = j.limitTracker.Lowered() && j.mayWrite(AnyEncoding)
+	if j.limitTracker.Lowered() && !j.compress {
+		j.encodingNeeded()
+	}
 	limit, burst := j.limits.pace()
 	j.limiter.SetLimit(limit)
 	j.limiter.SetBurst(burst)
@@ -144,6 +153,11 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case m := <-j.migrations:
+			if err := j.migrate(ctx, m); err != nil {
+				return err
+			}
+			continue
 		case b := <-j.in:
 			batches = append(batches, b)
 		}
@@ -179,6 +193,9 @@
 	*batches = j.drain(*batches)
 	j.applyLimits()
 	records := merge(*batches)
+	if err := j.awaitEncoding(ctx, records); err != nil {
+		return err
+	}
 	for pending := j.fragmentLarge(records); len(pending) > 0; {
 		chunks, rest, err := j.cut(pending)
 		if err != nil {
@@ -190,6 +207,10 @@
 			// smaller. What was written stands, and the later record wins.
 			slog.Info("the state service takes less", "value_bytes", j.limitTracker.Limits().ValueBytes, "txn_ops", j.limitTracker.Limits().TxnOps)
 			j.applyLimits()
+			if err := j.awaitEncoding(ctx, records); err != nil {
+				return err
+			}
+			j.applyLimits()
 			pending = j.fragmentLarge(records)
 			continue
 		}
--- a/internal/storage/journal_index.go
+++ b/internal/storage/journal_index.go
@@ -15,6 +15,8 @@
 type chunkInfo struct {
 	seq  uint64
 	keys []string
+
+	encoded bool // not plain: see Encoding
 }
 
 func (j *Journal) readChunk(it Item) error {
@@ -30,14 +32,14 @@
 	if err != nil {
 		return fmt.Errorf("chunk %q: %w", it.Key, err)
 	}
-	j.note(seq, records)
+	j.note(seq, records, isEncoded(it.Data, records))
 	j.next, j.last = seq+1, it.Version
 	return nil
 }
 
 // note enters a chunk's records into the journal's index.
-func (j *Journal) note(seq uint64, records []Record) {
-	info := chunkInfo{seq: seq}
+func (j *Journal) note(seq uint64, records []Record, encoded bool) {
+	info := chunkInfo{seq: seq, encoded: encoded}
 	for _, r := range records {
 		chunk, data := seq, r.Data
 		if r.fragment != nil {
--- a/internal/storage/journal_write.go
+++ b/internal/storage/journal_write.go
@@ -106,7 +106,7 @@
 		if err != nil {
 			return err
 		}
-		j.note(j.next, nil)
+		j.note(j.next, nil, false)
 		j.next, j.last = j.next+1, version
 	}
 	chunks, compacted := j.compact(chunks)
@@ -129,7 +129,7 @@
 	}
 	j.forget(compacted)
 	for i, c := range chunks {
-		j.note(j.next+uint64(i), c.records)
+		j.note(j.next+uint64(i), c.records, isEncoded(c.data, c.records))
 	}
 	j.next += uint64(len(chunks))
 	j.last = version
@@ -143,7 +143,11 @@
 	need := j.liveBytes/j.rawRoom(j.compactionRatio) + 1
 	excess := len(j.chunks) - compactFactor*need - compactSlack
 	spare := int(j.limiter.Tokens()) / 2
-	if excess > compactBehind {
+	migrating := j.migrating()
+	if migrating {
+		excess = max(excess, j.lastEncoded())
+	}
+	if migrating || excess > compactBehind {
 		spare = max(spare, compactForced)
 	}
 	if excess <= 0 || spare <= 0 {
--- /dev/null
+++ b/internal/upgrade/transition.go
@@ -0,0 +1,324 @@
+package upgrade
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Policy is the operators' part of an upgrade.
+type Policy struct {
+	Hold         bool          // activate nothing further
+	Target       Version       // activate nothing beyond; 0: all that every controller has
+	AutoFinalize bool          // finalize after the soak
+	Soak         time.Duration // how long a version is active before that
+}
+
+// Usage counts what depends on each gate, as the leader has it in its state. Where it is
+// nil nothing is known, so that no gate in use can be closed.
+type Usage map[GateName]int
+
+// Situation is all that a decision rests on.
+type Situation struct {
+	Record   Record
+	Members  []Member // every controller of the fleet, the leader among them
+	Versions Range    // the leader's own
+	Known    Catalogue
+	Usage    Usage
+	Policy   Policy
+	Now      time.Time
+	Term     uint64
+}
+
+// Step is one transition of the cluster record, or what the next one waits for.
+type Step struct {
+	Changed bool
+	Record  Record // the next one, if Changed
+	What    string // what the step does, for operators
+	Waiting string // where nothing changed: what for; "": nothing is left to do
+}
+
+// Next decides on the next single step. It is pure: the same situation gives the same
+// step, so that a later leader goes on where an earlier one stopped.
+func Next(s Situation) Step {
+	var waiting Step
+	for _, rule := range []func(*Situation) Step{withdraw, reopen, openGates, adopt, activate, finalize} {
+		step := rule(&s)
+		if step.Changed {
+			return step
+		}
+		if waiting.Waiting == "" {
+			waiting = step
+		}
+	}
+	return waiting
+}
+
+// change makes a step of a changed record.
+func (s *Situation) change(r Record, format string, args ...any) Step {
+	r.Term = s.Term
+	return Step{Changed: true, Record: r, What: fmt.Sprintf(format, args...)}
+}
+
+// wait makes a step that waits for something.
+func wait(format string, args ...any) Step {
+	return Step{Waiting: fmt.Sprintf(format, args...)}
+}
+
+// ceiling is the newest version that every known member has, but never one below what
+// is finalized: such a member is refused.
+func (s *Situation) ceiling() (node string, version Version) {
+	node, version, ok := lowest(s.Members)
+	if !ok {
+		return "", s.Record.Active
+	}
+	return node, max(version, s.Record.Minimum)
+}
+
+// withdraw goes back, a step at a time, where a controller is older than the active
+// version: gates first, the fence behind all that it protects, the version last.
+func withdraw(s *Situation) Step {
+	node, ceiling := s.ceiling()
+	if ceiling >= s.Record.Active {
+		return Step{}
+	}
+	if names := s.withdrawalOrder(ceiling); len(names) > 0 {
+		return withdrawGate(s, names[0], node, ceiling)
+	}
+	next := s.Record.clone()
+	next.Phase = Withdrawing
+	next.Active--
+	if next.Active == ceiling {
+		next.Phase = settledPhase(&next)
+	}
+	return s.change(next, "version %d active again: node %s is of version %d", next.Active, node, ceiling)
+}
+
+// withdrawGate first bars new uses of a gate, and closes it once none is left.
+func withdrawGate(s *Situation, name GateName, node string, ceiling Version) Step {
+	next := s.Record.clone()
+	next.Phase = Withdrawing
+	gate := next.Gates[name]
+	if gate.Phase == GateOpen {
+		gate.Phase = GateWithdrawing
+		next.Gates[name] = gate
+		return s.change(next, "withdraw gate %s: node %s is of version %d", name, node, ceiling)
+	}
+	if gate.Used && s.Usage == nil {
+		return wait("gate %s is being withdrawn for node %s; its uses aren't counted yet", name, node)
+	}
+	if uses := s.Usage[name]; gate.Used && uses > 0 {
+		return wait("gate %s is being withdrawn for node %s; %d uses of it are left", name, node, uses)
+	}
+	if name == FencedTerm {
+		next.Fence = 0
+	}
+	delete(next.Gates, name)
+	return s.change(next, "gate %s closed", name)
+}
+
+// settledPhase is the phase of a record that is under no change.
+func settledPhase(r *Record) Phase {
+	switch {
+	case r.Active == r.Minimum:
+		return Finalized
+	case r.Active == Baseline:
+		return Stable
+	}
+	return Soaking
+}
+
+// withdrawalOrder lists the gates to be withdrawn: those that the lowest member lacks,
+// dependants before what they depend on, later versions first, the fence last.
+func (s *Situation) withdrawalOrder(ceiling Version) []GateName {
+	var names []GateName
+	for _, name := range s.Record.GateNames() {
+		if s.Record.Gates[name].Since > ceiling {
+			names = append(names, name)
+		}
+	}
+	rank := func(name GateName) int {
+		if name == FencedTerm {
+			return -1
+		}
+		for i, g := range s.Known {
+			if g.Name == name {
+				return i
+			}
+		}
+		return len(s.Known) // unknown here, so of a later version
+	}
+	slices.SortStableFunc(names, func(a, b GateName) int { return rank(b) - rank(a) })
+	return names
+}
+
+// reopen takes a withdrawal back once no controller needs it any longer.
+func reopen(s *Situation) Step {
+	if s.Record.Phase != Withdrawing {
+		return Step{}
+	}
+	next := s.Record.clone()
+	next.Phase = settledPhase(&next)
+	for name, gate := range next.Gates {
+		gate.Phase = GateOpen
+		next.Gates[name] = gate
+	}
+	return s.change(next, "withdrawal ended: every controller has version %d", next.Active)
+}
+
+// activate moves the active version up by one, once every controller has the next.
+func activate(s *Situation) Step {
+	node, ceiling := s.ceiling()
+	next := s.Record.Active + 1
+	switch {
+	case next > s.Versions.Max:
+		return Step{}
+	case s.Policy.Hold:
+		return wait("version %d is held back by upgrade.target", next)
+	case s.Policy.Target != 0 && next > s.Policy.Target:
+		return wait("version %d is beyond upgrade.target %d", next, s.Policy.Target)
+	}
+	if silent := unknown(s.Members); silent != "" {
+		return wait("version %d: the versions of node %s are not known", next, silent)
+	}
+	if ceiling < next {
+		return wait("version %d: node %s is of version %d", next, node, ceiling)
+	}
+	for i := range s.Members {
+		if versions, _ := s.Members[i].Versions(); !versions.Contains(next) {
+			return wait("version %d: node %s reads versions %s only", next, s.Members[i].Node, versions)
+		}
+	}
+	record := s.Record.clone()
+	record.Active, record.Phase, record.ActivatedMS = next, Soaking, s.Now.UnixMilli()
+	s.open(&record)
+	return s.change(record, "version %d active", next)
+}
+
+// openGates opens gates of the active version that aren't open yet.
+func openGates(s *Situation) Step {
+	record := s.Record.clone()
+	opened := s.open(&record)
+	if len(opened) == 0 || s.Policy.Hold {
+		return Step{}
+	}
+	return s.change(record, "gates %v open", opened)
+}
+
+// open opens every closed gate of the active version whose dependencies are open and
+// that every controller has.
+func (s *Situation) open(record *Record) (opened []GateName) {
+	_, ceiling := s.ceiling()
+	if unknown(s.Members) != "" {
+		return nil
+	}
+	for _, gate := range s.Known {
+		if _, there := record.Gates[gate.Name]; there || gate.Since > min(record.Active, ceiling) || !dependenciesOpen(record, gate) {
+			continue
+		}
+		if gate.Name == FencedTerm && !s.allRegister() {
+			continue
+		}
+		record.Gates[gate.Name] = GateState{Since: gate.Since, Phase: GateOpen}
+		opened = append(opened, gate.Name)
+	}
+	raiseFence(record)
+	return opened
+}
+
+func dependenciesOpen(record *Record, gate Gate) bool {
+	for _, name := range gate.DependsOn {
+		if record.Gates[name].Phase != GateOpen {
+			return false
+		}
+	}
+	return true
+}
+
+// allRegister tells whether every controller obeys the cluster record.
+func (s *Situation) allRegister() bool {
+	for i := range s.Members {
+		if !s.Members[i].registers() {
+			return false
+		}
+	}
+	return true
+}
+
+// raiseFence sets the fence where the fence's gate allows it and something depends on a
+// gate or on the finalized version.
+func raiseFence(record *Record) {
+	fence, open := record.Gates[FencedTerm]
+	if !open {
+		return
+	}
+	needed := record.Minimum
+	for _, gate := range record.Gates {
+		if gate.Used {
+			needed = max(needed, gate.Since)
+		}
+	}
+	if needed <= Baseline {
+		return
+	}
+	record.Fence = max(record.Fence, needed)
+	fence.Used = true
+	record.Gates[FencedTerm] = fence
+}
+
+// adopt notes that a gate is in use that an earlier version used without asking.
+func adopt(s *Situation) Step {
+	for _, gate := range s.Known {
+		if state, there := s.Record.Gates[gate.Name]; there && !state.Used && s.Usage[gate.Name] > 0 {
+			record, err := Use(s.Record, gate.Name, s.Term)
+			if err != nil {
+				continue
+			}
+			return s.change(record, "gate %s is in use", gate.Name)
+		}
+	}
+	return Step{}
+}
+
+// finalize refuses older versions from now on, once the operators' soak is over.
+func finalize(s *Situation) Step {
+	if s.Record.Phase != Soaking || s.Record.Active <= s.Record.Minimum {
+		return Step{}
+	}
+	if !s.Policy.AutoFinalize || s.Policy.Hold {
+		return wait("finalization of version %d is held back by upgrade.finalize", s.Record.Active)
+	}
+	if _, known := s.Known.find(FencedTerm); known && s.Record.Gate(FencedTerm).Phase != GateOpen {
+		return wait("finalization of version %d: gate %s must be open first", s.Record.Active, FencedTerm)
+	}
+	if silent := unknown(s.Members); silent != "" {
+		return wait("finalization of version %d: the versions of node %s are not known", s.Record.Active, silent)
+	}
+	soaked := s.Now.Sub(time.UnixMilli(s.Record.ActivatedMS))
+	if left := s.Policy.Soak - soaked; left > 0 {
+		return wait("finalization of version %d: it soaks until %s", s.Record.Active, s.Now.Add(left).UTC().Format(time.RFC3339))
+	}
+	record := s.Record.clone()
+	record.Minimum, record.Phase = record.Active, Finalized
+	raiseFence(&record)
+	return s.change(record, "version %d finalized", record.Active)
+}
+
+// GateClosedError tells that a gate may not be used.
+type GateClosedError struct{ Gate GateName }
+
+func (e *GateClosedError) Error() string { return fmt.Sprintf("gate %s is not open", e.Gate) }
+
+// Use notes that something is about to depend on a gate, and raises the fence with it.
+func Use(r Record, name GateName, term uint64) (Record, error) {
+	gate := r.Gate(name)
+	if gate.Phase != GateOpen {
+		return Record{}, &GateClosedError{Gate: name}
+	}
+	next := r.clone()
+	gate.Used = true
+	next.Gates[name] = gate
+	next.Term = term
+	raiseFence(&next)
+	return next, nil
+}
