--- a/internal/upgrade/member.go
+++ b/internal/upgrade/member.go
@@ -9,8 +9,8 @@
 	// Damaged tells that its registration can't be understood.
 	Damaged bool
 	// Unregistered is the version of a process that doesn't register, as it told
-	// its peers; 0: no such process was heard of. It outranks the registration,
-	// for such a process can't replace that.
+	// its peers; 0: no such process was heard of. Such a process can't replace the
+	// registration, so the older of the two counts.
 	Unregistered Version
 }
 
@@ -18,18 +18,21 @@
 // Silence changes nothing: a member counts by what it said last.
 func (m *Member) Versions() (versions Range, ok bool) {
 	switch {
+	case m.Unregistered != 0 && m.registered():
+		return Range{Min: Baseline, Max: min(m.Unregistered, m.Registered.Max)}, true
 	case m.Unregistered != 0:
 		return Range{Min: Baseline, Max: m.Unregistered}, true
-	case m.Damaged || m.Registered == nil:
-		return Range{}, false
+	case m.registered():
+		return m.Registered.Range, true
 	}
-	return m.Registered.Range, true
+	return Range{}, false
 }
 
+// registered tells whether there is a registration that can be read.
+func (m *Member) registered() bool { return m.Registered != nil && !m.Damaged }
+
 // registers tells whether the member obeys the cluster record.
-func (m *Member) registers() bool {
-	return m.Unregistered == 0 && m.Registered != nil && !m.Damaged
-}
+func (m *Member) registers() bool { return m.Unregistered == 0 && m.registered() }
 
 // lowest finds the member with the lowest newest version.
 func lowest(members []Member) (node string, version Version, ok bool) {
--- a/internal/upgrade/transition.go
+++ b/internal/upgrade/transition.go
@@ -42,7 +42,7 @@
 // step, so that a later leader goes on where an earlier one stopped.
 func Next(s Situation) Step {
 	var waiting Step
-	for _, rule := range []func(*Situation) Step{withdraw, reopen, openGates, adopt, activate, finalize} {
+	for _, rule := range []func(*Situation) Step{withdraw, lowerFence, reopen, openGates, adopt, activate, finalize} {
 		step := rule(&s)
 		if step.Changed {
 			return step
@@ -110,13 +110,29 @@
 	if uses := s.Usage[name]; gate.Used && uses > 0 {
 		return wait("gate %s is being withdrawn for node %s; %d uses of it are left", name, node, uses)
 	}
-	if name == FencedTerm {
-		next.Fence = 0
-	}
 	delete(next.Gates, name)
 	return s.change(next, "gate %s closed", name)
 }
 
+// lowerFence lets a controller lead again that doesn't register, once it reads all that
+// may depend on a gate. A finalized version keeps its fence for good.
+func lowerFence(s *Situation) Step {
+	if _, there := s.Record.Gates[FencedTerm]; !there || s.Record.Minimum != 0 {
+		return Step{}
+	}
+	for i := range s.Members {
+		version := s.Members[i].Unregistered
+		if version == 0 || version < s.Record.fenceNeeded() {
+			continue
+		}
+		next := s.Record.clone()
+		delete(next.Gates, FencedTerm)
+		next.Fence = 0
+		return s.change(next, "term not fenced: node %s doesn't register", s.Members[i].Node)
+	}
+	return Step{}
+}
+
 // settledPhase is the phase of a record that is under no change.
 func settledPhase(r *Record) Phase {
 	switch {
@@ -129,7 +145,7 @@
 }
 
 // withdrawalOrder lists the gates to be withdrawn: those that the lowest member lacks,
-// dependants before what they depend on, later versions first, the fence last.
+// dependants before what they depend on, later versions first.
 func (s *Situation) withdrawalOrder(ceiling Version) []GateName {
 	var names []GateName
 	for _, name := range s.Record.GateNames() {
@@ -138,9 +154,6 @@
 		}
 	}
 	rank := func(name GateName) int {
-		if name == FencedTerm {
-			return -1
-		}
 		for i, g := range s.Known {
 			if g.Name == name {
 				return i
@@ -154,7 +167,7 @@
 
 // reopen takes a withdrawal back once no controller needs it any longer.
 func reopen(s *Situation) Step {
-	if s.Record.Phase != Withdrawing {
+	if _, ceiling := s.ceiling(); s.Record.Phase != Withdrawing || ceiling < s.Record.Active {
 		return Step{}
 	}
 	next := s.Record.clone()
@@ -245,20 +258,23 @@
 	return true
 }
 
-// raiseFence sets the fence where the fence's gate allows it and something depends on a
-// gate or on the finalized version.
-func raiseFence(record *Record) {
-	fence, open := record.Gates[FencedTerm]
-	if !open {
-		return
-	}
-	needed := record.Minimum
-	for _, gate := range record.Gates {
+// fenceNeeded is the lowest version that reads all that may depend on a gate, and that
+// isn't refused.
+func (r *Record) fenceNeeded() Version {
+	needed := max(r.Minimum, Baseline)
+	for _, gate := range r.Gates {
 		if gate.Used {
 			needed = max(needed, gate.Since)
 		}
 	}
-	if needed <= Baseline {
+	return needed
+}
+
+// raiseFence sets the fence where its gate is open and older versions must not lead.
+func raiseFence(record *Record) {
+	fence, open := record.Gates[FencedTerm]
+	needed := record.fenceNeeded()
+	if !open || needed <= Baseline {
 		return
 	}
 	record.Fence = max(record.Fence, needed)
--- a/internal/upgrade/version.go
+++ b/internal/upgrade/version.go
@@ -58,8 +58,9 @@
 	// CompressedChunks: journal chunks may be compressed, and records written in
 	// fragments.
 	CompressedChunks GateName = "compressed-chunks"
-	// FencedTerm: the term record may be written in a form that keeps versions
-	// that don't register from taking the lead.
+	// FencedTerm: the term record may be written in a form that keeps processes
+	// that don't register from taking the lead. It is open only while every
+	// controller registers.
 	FencedTerm GateName = "fenced-term"
 )
 
@@ -73,11 +74,12 @@
 // Catalogue is the gates that a program knows, each behind those it depends on.
 type Catalogue []Gate
 
-// Gates is this program's catalogue.
+// Gates is this program's catalogue. Whatever registers knows the fence, so that is no
+// matter of its version.
 var Gates = Catalogue{
+	{Name: FencedTerm, Since: Baseline},
 	{Name: CompressedChunks, Since: Version2},
 	{Name: GangJobs, Since: Version2},
-	{Name: FencedTerm, Since: Version3},
 }
 
 // find returns a gate by its name.
