--- a/internal/coordination/fake_node_test.go
+++ b/internal/coordination/fake_node_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sagevale/internal/storage/storagetest"
+	"sagevale/internal/upgrade"
 )
 
 type fakeNode struct {
@@ -19,12 +20,17 @@
 	end      context.CancelFunc
 	cutState atomic.Bool
 	cutPeers atomic.Bool
-	cutWork  atomic.Bool           // it doesn't reach the workers, nor they it
-	holdUp   atomic.Int64          // its answers to other nodes' users come so much later
-	statuses map[string]PeerReport // what the others told last
+	cutWork  atomic.Bool             // it doesn't reach the workers, nor they it
+	holdUp   atomic.Int64            // its answers to other nodes' users come so much later
+	statuses map[string]PeerReport   // what the others told last
+	upgrade  func(*upgrade.Settings) // changes what its next process brings to an upgrade
+	refused  atomic.Pointer[error]   // why its process ended by itself
+	// unregistered is its process of a version that doesn't register; nil: none
+	unregistered atomic.Pointer[unregisteredProcess]
 }
 
 func (n *fakeNode) start() {
+	n.unregistered.Store(nil)
 	s := n.sim.settings
 	s.Node, s.Zone = n.name, n.zone
 	for _, o := range n.sim.nodes {
@@ -32,6 +38,10 @@
 			s.Peers = append(s.Peers, Peer{Name: o.name, Zone: o.zone})
 		}
 	}
+	if n.upgrade != nil {
+		n.upgrade(&s.Tuning.Upgrade)
+	}
+	n.refused.Store(nil)
 	n.node = NewNode(&s, Deps{
 		State: &storagetest.Client{Service: n.sim.state, Cut: &n.cutState}, Cloud: n.sim.cloud, Workers: n, Peers: n,
 		Log: n.sim.log, Rand: rand.New(rand.NewPCG(7, uint64(len(n.name)))),
@@ -40,13 +50,25 @@
 	n.end = cancel
 	n.live.Store(n.node)
 	go n.ping(ctx)
+	node := n.node
 	go func() {
-		if err := n.node.Run(ctx); err != nil {
+		err := node.Run(ctx)
+		switch {
+		case upgrade.IsRefusal(err):
+			n.refused.Store(&err)
+			n.live.CompareAndSwap(node, nil)
+		case err != nil:
 			n.sim.t.Errorf("node ended: %v", err)
 		}
 	}()
 }
 
+// replace ends the node's process and begins one of another version.
+func (n *fakeNode) replace(version upgrade.Version) {
+	n.upgrade = func(s *upgrade.Settings) { *s = s.CappedAt(version) }
+	n.restart()
+}
+
 func (n *fakeNode) kill() {
 	if n.end != nil {
 		n.live.Store(nil)
@@ -60,6 +82,9 @@
 // Forward is the peer link.
 func (n *fakeNode) Forward(ctx context.Context, name string, req UserRequest) (Answer, error) {
 	for _, o := range n.sim.nodes {
+		if old := o.unregistered.Load(); o.name == name && old != nil && req.Op == OpPing && !o.cutPeers.Load() && !n.cutPeers.Load() {
+			return Answer{Peer: PeerState{Version: old.told}}, nil
+		}
 		if live := o.live.Load(); o.name == name && live != nil && !o.cutPeers.Load() && !n.cutPeers.Load() {
 			a := live.Local(ctx, req)
 			if req.Op != OpPing {
--- /dev/null
+++ b/internal/coordination/upgrade_test.go
@@ -0,0 +1,478 @@
+package coordination
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"sagevale/internal/storage"
+	"sagevale/internal/storage/storagetest"
+	"sagevale/internal/upgrade"
+)
+
+// cluster reads the cluster record as it is stored.
+func (sim *simulation) cluster() upgrade.Record {
+	sim.t.Helper()
+	client := &storagetest.Client{Service: sim.state}
+	item, err := client.Get(context.Background(), clusterKey)
+	if errors.Is(err, storage.ErrNotFound) {
+		return upgrade.Initial()
+	}
+	record, derr := upgrade.DecodeRecord(clusterKey, item.Data)
+	if derr != nil && err == nil {
+		sim.t.Fatal(derr)
+	}
+	return record
+}
+
+// awaitActive waits until a version is active and nothing is being withdrawn.
+func (sim *simulation) awaitActive(version upgrade.Version, within time.Duration) {
+	sim.t.Helper()
+	sim.eventually(fmt.Sprintf("version %d active", version), within, func() bool {
+		r := sim.cluster()
+		return r.Active == version && r.Phase != upgrade.Withdrawing
+	})
+}
+
+// allAt begins all nodes anew with a version.
+func (sim *simulation) allAt(version upgrade.Version) {
+	for _, n := range sim.nodes {
+		n.replace(version)
+	}
+}
+
+// submitGang submits a gang job, again and again until it is accepted.
+func (sim *simulation) submitGang(id string) {
+	sim.t.Helper()
+	g := arrayJob(id, 3)
+	g.Gang = true
+	sim.submit(g)
+}
+
+func touchesCluster(tx storagetest.Txn) bool {
+	return slices.ContainsFunc(tx.Ops, func(o storage.Op) bool { return o.Key == clusterKey })
+}
+
+// New behaviour stays off until the last controller has it, and a gang job is told to come
+// back until then.
+func TestGatesOpenOnceEveryControllerHasThem(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		sim.allAt(upgrade.Version1)
+		sim.submit(service("000001", 3))
+		g := arrayJob("000002", 3)
+		g.Gang = true
+		sim.upload(g)
+		for i, n := range sim.nodes {
+			if a := sim.askNode(sim.nodes[0], OpSubmit, g.ID, g); a.decided() {
+				t.Errorf("with %d nodes upgraded the gang job is answered %+v", i, a)
+			}
+			if r := sim.cluster(); r.Active != upgrade.Version1 || r.Gate(upgrade.GangJobs).Phase != "" {
+				t.Errorf("with %d nodes upgraded: %+v", i, r)
+			}
+			n.replace(upgrade.Current)
+			time.Sleep(10 * time.Second)
+		}
+		sim.awaitActive(upgrade.Current, 10*time.Second)
+		sim.submit(g)
+		sim.done("000002")
+		sim.runs("000001", 3)
+	})
+}
+
+// One controller goes back while a gang job is in use: it answers, but doesn't lead; the
+// gate is withdrawn once the gang is over, and then it leads.
+func TestRollbackOfOneController(t *testing.T) {
+	for _, leader := range []bool{false, true} {
+		t.Run(fmt.Sprintf("leader=%v", leader), func(t *testing.T) {
+			inSimulation(t, func(sim *simulation) {
+				sim.awaitActive(upgrade.Current, time.Minute)
+				sim.submit(service("000001", 3))
+				sim.submitGang("000002")
+				back := sim.nodes[2]
+				if lead := sim.awaitLeader(); leader == (lead != back) {
+					back = lead
+				}
+				if !leader && back == sim.awaitLeader() {
+					back = sim.nodes[0]
+				}
+				back.replace(upgrade.Version1)
+				if sim.awaitLeader() == back {
+					t.Error("it leads beside a gang job")
+				}
+				refused := arrayJob("000003", 3)
+				refused.Gang = true
+				sim.eventually("answers", 10*time.Second, func() bool {
+					a := sim.askNode(back, OpPoll, "000002", storage.Spec{})
+					return a.decided()
+				})
+				sim.eventually("withdrawing", 10*time.Second, func() bool { return sim.cluster().Phase == upgrade.Withdrawing })
+				if a := sim.askNode(back, OpSubmit, refused.ID, refused); a.decided() {
+					t.Errorf("a gang job is taken during the withdrawal: %+v", a)
+				}
+				sim.done("000002")
+				sim.awaitActive(upgrade.Version1, time.Minute)
+				for _, n := range sim.nodes {
+					if n != back {
+						n.kill()
+					}
+				}
+				if sim.awaitLeader() != back {
+					t.Error("it doesn't lead")
+				}
+				sim.runs("000001", 3)
+				sim.submit(arrayJob("000004", 4))
+				sim.done("000004")
+			})
+		})
+	}
+}
+
+// All controllers go back at once before anything depends on a gate: nothing is stuck, and
+// the fleet may be upgraded again.
+func TestRollbackOfAllBeforeAnyUse(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		sim.awaitActive(upgrade.Current, time.Minute)
+		sim.submit(service("000001", 3))
+		sim.allAt(upgrade.Version1)
+		sim.awaitLeader()
+		sim.awaitActive(upgrade.Version1, time.Minute)
+		if r := sim.cluster(); r.Phase != upgrade.Stable || r.Gate(upgrade.GangJobs).Phase != "" {
+			t.Errorf("%+v", r)
+		}
+		sim.runs("000001", 3)
+		sim.allAt(upgrade.Current)
+		sim.awaitActive(upgrade.Current, time.Minute)
+		sim.submitGang("000002")
+		sim.done("000002")
+	})
+}
+
+// Chunks are compressed under lowered limits; going back rewrites them, wherever the leader
+// ends meanwhile.
+func TestRollbackDuringMigration(t *testing.T) {
+	for kills := range 4 {
+		t.Run(fmt.Sprint(kills), func(t *testing.T) {
+			next := &storage.Limits{ChangesPerS: 30, ValueBytes: 3072, TxnOps: 6}
+			inSimulationWith(t, func(s *Settings) { s.State.Next = next }, func(sim *simulation) {
+				sim.awaitActive(upgrade.Current, time.Minute)
+				for i := range 12 {
+					sim.submit(arrayJob(fmt.Sprintf("%06d", i+1), 40))
+				}
+				sim.state.Trouble(func(s *storagetest.Service) { s.ValueBytes, s.TxnOps = next.ValueBytes, next.TxnOps })
+				sim.submit(arrayJob("000100", 60))
+				sim.eventually("compressed", time.Minute, func() bool {
+					return sim.cluster().Gate(upgrade.CompressedChunks).Used && sim.encodedChunks() > 0
+				})
+				back := sim.nodes[0]
+				if sim.awaitLeader() == back {
+					back = sim.nodes[1]
+				}
+				back.replace(upgrade.Version1)
+				for range kills {
+					time.Sleep(700 * time.Millisecond)
+					if lead := sim.leader(); lead != nil && lead != back {
+						lead.restart()
+					}
+					sim.awaitLeader()
+				}
+				sim.awaitActive(upgrade.Version1, 3*time.Minute)
+				if n := sim.encodedChunks(); n > 0 {
+					t.Errorf("%d encoded chunks are left", n)
+				}
+				for _, n := range sim.nodes {
+					if n != back {
+						n.kill()
+					}
+				}
+				sim.awaitLeader()
+				for i := range 12 {
+					sim.done(fmt.Sprintf("%06d", i+1))
+				}
+			})
+		})
+	}
+}
+
+// encodedChunks counts the stored chunks that the first versions can't read.
+func (sim *simulation) encodedChunks() int {
+	client := &storagetest.Client{Service: sim.state}
+	items, _, _, err := client.List(context.Background(), "log/", "", 1000)
+	if err != nil {
+		sim.t.Fatal(err)
+	}
+	n := 0
+	for _, it := range items {
+		if storage.IsEncoded(it.Data) {
+			n++
+		}
+	}
+	return n
+}
+
+// A transaction of the upgrade is lost, carried out without an answer, or late, and the
+// leader ends with it: whoever leads goes on from the record.
+func TestAnyStepMayBeLost(t *testing.T) {
+	for _, fate := range []string{"dropped", "unanswered", "late"} {
+		for _, kill := range []bool{false, true} {
+			for step := range 4 {
+				t.Run(fmt.Sprintf("%s/kill=%v/%d", fate, kill, step), func(t *testing.T) {
+					inSimulation(t, func(sim *simulation) { sim.loseStep(fate, kill, step) })
+				})
+			}
+		}
+	}
+}
+
+// loseStep has the nth transaction on the cluster record meet its fate, during an upgrade
+// and the use of a gate.
+func (sim *simulation) loseStep(fate string, kill bool, step int) {
+	sim.allAt(upgrade.Version1)
+	sim.submit(service("000001", 2))
+	sim.awaitLeader()
+	seen := 0
+	hit := func(tx storagetest.Txn) bool {
+		if !touchesCluster(tx) {
+			return false
+		}
+		seen++
+		if seen != step+1 {
+			return false
+		}
+		if kill {
+			time.AfterFunc(time.Millisecond, func() {
+				if lead := sim.leader(); lead != nil {
+					lead.restart()
+				}
+			})
+		}
+		return true
+	}
+	sim.state.Trouble(func(s *storagetest.Service) {
+		switch fate {
+		case "dropped":
+			s.Drop = hit
+		case "unanswered":
+			s.Lose = hit
+		case "late":
+			s.Late = func(tx storagetest.Txn) time.Duration {
+				if hit(tx) {
+					return 20 * time.Second
+				}
+				return 0
+			}
+		}
+	})
+	sim.allAt(upgrade.Current)
+	sim.awaitActive(upgrade.Current, time.Minute)
+	sim.submitGang("000002")
+	sim.done("000002")
+	time.Sleep(30 * time.Second) // what is late has come
+	if r := sim.cluster(); r.Active != upgrade.Current || !r.Gate(upgrade.GangJobs).Usable() {
+		sim.t.Errorf("%+v", r)
+	}
+	sim.runs("000001", 2)
+}
+
+// The state service is out through the whole window, or refuses one node only, or lowers
+// its limits in the middle: the upgrade is held up, and nothing else.
+func TestUpgradeThroughTroubleOfTheStateService(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		trouble func(sim *simulation)
+		mended  func(sim *simulation)
+	}{
+		{"out", func(sim *simulation) { sim.state.Outage(true) }, func(sim *simulation) { sim.state.Outage(false) }},
+		{"refuses one", func(sim *simulation) { sim.nodes[1].cutState.Store(true) }, func(sim *simulation) { sim.nodes[1].cutState.Store(false) }},
+		{"lowers its limits", func(sim *simulation) {
+			sim.state.Trouble(func(s *storagetest.Service) { s.ValueBytes, s.TxnOps = 2048, 4 })
+		}, func(*simulation) {}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inSimulationWith(t, func(s *Settings) { s.State.Next = &storage.Limits{ChangesPerS: 15, ValueBytes: 2048, TxnOps: 4} }, func(sim *simulation) {
+				sim.allAt(upgrade.Version1)
+				sim.submit(service("000001", 3))
+				sim.runs("000001", 3)
+				c.trouble(sim)
+				for _, n := range sim.nodes {
+					n.replace(upgrade.Current)
+					time.Sleep(5 * time.Second)
+				}
+				c.mended(sim)
+				sim.awaitActive(upgrade.Current, 2*time.Minute)
+				sim.submitGang("000002")
+				sim.done("000002")
+				sim.runs("000001", 3)
+			})
+		})
+	}
+}
+
+// A damaged cluster record: nobody guesses, nobody leads, and users are told to come back.
+func TestADamagedClusterRecordLeadsNobody(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		sim.awaitActive(upgrade.Current, time.Minute)
+		sim.submit(service("000001", 2))
+		client := &storagetest.Client{Service: sim.state}
+		good, err := client.Get(context.Background(), clusterKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		set := func(data string) {
+			if _, err := client.Apply(nil, []storage.Op{{Key: clusterKey, Data: json.RawMessage(data)}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		set(`{"schema":1,"active":0}`)
+		for _, n := range sim.nodes {
+			n.restart()
+		}
+		time.Sleep(20 * time.Second)
+		if lead := sim.leader(); lead != nil {
+			t.Errorf("%s leads", lead.name)
+		}
+		for _, n := range sim.nodes {
+			if a := sim.askNode(n, OpPoll, "000001", storage.Spec{}); a.Code != CodeUnavailable || a.RetryS == 0 {
+				t.Errorf("%s answers %+v", n.name, a)
+			}
+		}
+		set(string(good.Data))
+		sim.awaitLeader()
+		sim.runs("000001", 2)
+	})
+}
+
+// A damaged registration holds the activation up until its node registers anew.
+func TestADamagedRegistrationActivatesNothing(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		sim.allAt(upgrade.Version1)
+		sim.awaitLeader()
+		sim.nodes[0].replace(upgrade.Current)
+		sim.nodes[1].replace(upgrade.Current)
+		time.Sleep(5 * time.Second)
+		sim.nodes[2].kill()
+		client := &storagetest.Client{Service: sim.state}
+		if _, err := client.Apply(nil, []storage.Op{{Key: registrationPrefix + sim.nodes[2].name, Data: json.RawMessage(`{"schema":1,"min":9}`)}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Second)
+		if r := sim.cluster(); r.Active != upgrade.Version1 {
+			t.Errorf("%+v", r)
+		}
+		sim.nodes[2].replace(upgrade.Current)
+		sim.awaitActive(upgrade.Current, 20*time.Second)
+	})
+}
+
+// After finalization an older process ends and says what it needs; the others go on.
+func TestAFinalizedVersionRefusesOlderProcesses(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		for _, n := range sim.nodes {
+			n.upgrade = func(s *upgrade.Settings) { s.Policy.AutoFinalize, s.Policy.Soak = true, 10*time.Second }
+			n.restart()
+		}
+		sim.submit(service("000001", 3))
+		sim.eventually("finalized", time.Minute, func() bool { return sim.cluster().Minimum == upgrade.Current })
+		back := sim.awaitLeader()
+		back.replace(upgrade.Version2)
+		sim.eventually("refused", 20*time.Second, func() bool { return back.refused.Load() != nil })
+		if why := (*back.refused.Load()).Error(); !strings.Contains(why, "version 3 or later is needed") || strings.Contains(why, "\n") {
+			t.Errorf("it ends with %q", why)
+		}
+		sim.awaitLeader()
+		sim.submit(arrayJob("000002", 3))
+		sim.done("000002")
+		sim.runs("000001", 3)
+		if r := sim.cluster(); r.Active != upgrade.Current || r.Phase != upgrade.Finalized {
+			t.Errorf("%+v", r)
+		}
+	})
+}
+
+// The leader itself goes back just after the activation, before and after a gate's use.
+func TestRollbackOfTheLeaderJustAfterActivation(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		sim.allAt(upgrade.Version1)
+		sim.awaitLeader()
+		sim.allAt(upgrade.Current)
+		sim.eventually("version 2 active", time.Minute, func() bool { return sim.cluster().Active >= upgrade.Version2 })
+		lead := sim.awaitLeader()
+		lead.replace(upgrade.Version1)
+		sim.awaitActive(upgrade.Version1, time.Minute)
+		sim.submit(arrayJob("000001", 3))
+		sim.done("000001")
+		lead.replace(upgrade.Current)
+		sim.awaitActive(upgrade.Current, time.Minute)
+	})
+}
+
+// Three nodes, three versions: the lowest counts, whoever leads.
+func TestThreeNodesThreeVersions(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		sim.nodes[0].replace(upgrade.Version1)
+		sim.nodes[1].replace(upgrade.Version2)
+		sim.nodes[2].replace(upgrade.Version3)
+		sim.submit(service("000001", 3))
+		for range 4 {
+			time.Sleep(10 * time.Second)
+			if r := sim.cluster(); r.Active != upgrade.Version1 {
+				t.Fatalf("%+v", r)
+			}
+			sim.awaitLeader().restart()
+		}
+		sim.nodes[0].replace(upgrade.Version2)
+		sim.awaitActive(upgrade.Version2, time.Minute)
+		sim.submitGang("000002")
+		sim.done("000002")
+		sim.runs("000001", 3)
+	})
+}
+
+// A seeded history of upgrades, rollbacks, kills, cuts and outages under a stream of jobs:
+// the simulation watches that no task is lost or runs twice, and that no answer goes back.
+func TestUpgradesAndRollbacksInRandomOrder(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			inSimulation(t, func(sim *simulation) { sim.randomUpgrades(rand.New(rand.NewPCG(seed, 21))) })
+		})
+	}
+}
+
+func (sim *simulation) randomUpgrades(random *rand.Rand) {
+	sim.allAt(upgrade.Version(1 + random.IntN(3)))
+	sim.submit(service("000001", 4))
+	for i := range 14 {
+		node := sim.nodes[random.IntN(len(sim.nodes))]
+		switch random.IntN(7) {
+		case 0, 1, 2:
+			node.replace(upgrade.Version(1 + random.IntN(3)))
+		case 3:
+			node.restart()
+		case 4:
+			node.cutState.Store(true)
+			time.AfterFunc(8*time.Second, func() { node.cutState.Store(false) })
+		case 5:
+			sim.state.Outage(true)
+			time.AfterFunc(4*time.Second, func() { sim.state.Outage(false) })
+		case 6:
+			sim.state.Trouble(func(s *storagetest.Service) { s.LoseAnswers = 2 })
+		}
+		id := fmt.Sprintf("%06d", 10+i)
+		job := arrayJob(id, 1+random.IntN(4))
+		job.Gang = random.IntN(3) == 0 && sim.cluster().Gate(upgrade.GangJobs).Usable()
+		sim.upload(job)
+		sim.askNode(node, OpSubmit, id, job)
+		time.Sleep(time.Duration(random.IntN(10_000)) * time.Millisecond)
+	}
+	sim.state.Outage(false)
+	sim.allAt(upgrade.Current)
+	sim.awaitActive(upgrade.Current, 2*time.Minute)
+	sim.runs("000001", 4)
+	sim.submitGang("000100")
+	sim.done("000100")
+}
--- a/internal/storage/storagetest/service.go
+++ b/internal/storage/storagetest/service.go
@@ -45,6 +45,10 @@
 	ValueBytes, TxnOps int
 	// Drop, if set, tells which transactions are never carried out.
 	Drop func(Txn) bool
+	// Lose, if set, tells which are carried out without an answer.
+	Lose func(Txn) bool
+	// Late, if set, tells of each after how long it is carried out, without an answer.
+	Late func(Txn) time.Duration
 }
 
 // Trouble changes how the store serves, under its lock.
@@ -265,10 +269,14 @@
 	if lose {
 		c.LoseAnswers--
 	}
+	lose = lose || c.Lose != nil && c.Lose(Txn{guards, ops})
 	var late time.Duration
 	if c.Delay != nil {
 		late = c.Delay()
 	}
+	if c.Late != nil {
+		late = max(late, c.Late(Txn{guards, ops}))
+	}
 	c.mu.Unlock()
 	if drop {
 		<-ctx.Done()
--- a/internal/upgrade/record.go
+++ b/internal/upgrade/record.go
@@ -95,7 +95,7 @@
 func Initial() Record { return Record{Schema: recordSchema, Active: Baseline, Phase: Stable} }
 
 // Gate returns a gate's state; the zero state is closed.
-func (r *Record) Gate(name GateName) GateState { return r.Gates[name] }
+func (r Record) Gate(name GateName) GateState { return r.Gates[name] }
 
 // clone returns a copy that may be changed.
 func (r *Record) clone() Record {
