Properties on upgrades, upgrade status, and races between a check and its write

upgrade.target, upgrade.finalize and upgrade.soak; sagevale upgrade status reads the state service alone. Each race has a test that fails without its guard.

--- a/cmd/sagevale/main.go
+++ b/cmd/sagevale/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"sagevale/internal/coordination"
 	"sagevale/internal/protocol"
 )
 
@@ -24,6 +25,16 @@
 func newCommand() *cobra.Command {
 	var config, props string
 	var check bool
+	load := func(cmd *cobra.Command) (*coordination.Settings, error) {
+		settings, err := protocol.LoadSettings(config, props)
+		if err != nil {
+			return nil, err
+		}
+		for _, warning := range settings.Warnings {
+			fmt.Fprintln(cmd.ErrOrStderr(), "sagevale: warning:", warning)
+		}
+		return settings, nil
+	}
 	cmd := &cobra.Command{
 		Use:           "sagevale --config FILE",
 		Short:         "Schedule fleets of rented machines that serve language models",
@@ -33,13 +44,10 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			settings, err := protocol.LoadSettings(config, props)
+			settings, err := load(cmd)
 			if err != nil {
 				return err
 			}
-			for _, warning := range settings.Warnings {
-				fmt.Fprintln(cmd.ErrOrStderr(), "sagevale: warning:", warning)
-			}
 			if check {
 				fmt.Fprintln(cmd.OutOrStdout(), "settings are fine")
 				return nil
@@ -47,11 +55,13 @@
 			return serve(cmd.Context(), settings)
 		},
 	}
-	cmd.Flags().StringVar(&config, "config", "", "the platform's settings (TOML)")
-	cmd.Flags().StringVar(&props, "properties", "", "the operators' own settings (Java-style properties, optional)")
+	cmd.PersistentFlags().StringVar(&config, "config", "", "the platform's settings (TOML)")
+	cmd.PersistentFlags().StringVar(&props, "properties", "", "the operators' own settings (Java-style properties, optional)")
 	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
-	if err := cmd.MarkFlagRequired("config"); err != nil {
+	if err := cmd.MarkPersistentFlagRequired("config"); err != nil {
 		panic(err)
 	}
+	cmd.AddCommand(newUpgradeCommand(load))
+	cmd.CompletionOptions.DisableDefaultCmd = true
 	return cmd
 }
--- /dev/null
+++ b/internal/coordination/upgrade_races_test.go
@@ -0,0 +1,246 @@
+package coordination
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"testing"
+	"time"
+
+	"sagevale/internal/storage"
+	"sagevale/internal/storage/storagetest"
+	"sagevale/internal/upgrade"
+)
+
+// What happens between a check and the write that rests on it. Each test fails without the
+// guard that it is about.
+
+// apply writes keys as some other process would, whatever else goes on.
+func (sim *simulation) apply(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		sim.t.Fatal(err)
+	}
+	if _, err := sim.state.Apply(nil, []storage.Op{{Key: key, Data: data}}); err != nil {
+		sim.t.Fatal(err)
+	}
+}
+
+// onceBefore has f run before the first transaction that sets a key.
+func (sim *simulation) onceBefore(key string, f func()) {
+	done := false
+	sim.state.Trouble(func(s *storagetest.Service) {
+		s.Before = func(tx storagetest.Txn) {
+			if !done && sets(tx, key) {
+				done = true
+				f()
+			}
+		}
+	})
+}
+
+func sets(tx storagetest.Txn, key string) bool {
+	return slices.ContainsFunc(tx.Ops, func(o storage.Op) bool { return o.Key == key })
+}
+
+// registrationOf reads a node's registration.
+func (sim *simulation) registrationOf(node string) upgrade.Registration {
+	sim.t.Helper()
+	client := &storagetest.Client{Service: sim.state}
+	item, err := client.Get(context.Background(), registrationPrefix+node)
+	if err != nil {
+		sim.t.Fatal(err)
+	}
+	registration, err := upgrade.DecodeRegistration(item.Key, node, item.Data)
+	if err != nil {
+		sim.t.Fatal(err)
+	}
+	return registration
+}
+
+// gangInUse is a cluster record under which a process of version 1 must not lead.
+func gangInUse() upgrade.Record {
+	record := upgrade.Initial()
+	record.Active, record.Phase = upgrade.Version2, upgrade.Soaking
+	record.Gates = map[upgrade.GateName]upgrade.GateState{upgrade.GangJobs: {Since: upgrade.Version2, Phase: upgrade.GateOpen, Used: true}}
+	return record
+}
+
+func TestAnOlderProcessRegistersBetweenCheckAndWrite(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		sim.allAt(upgrade.Version1)
+		sim.awaitLeader()
+		node := sim.nodes[2].name
+		sim.onceBefore(clusterKey, func() {
+			sim.apply(registrationPrefix+node, upgrade.NewRegistration(node, "older", upgrade.Range{Min: 1, Max: 1}))
+		})
+		sim.allAt(upgrade.Current)
+		time.Sleep(20 * time.Second)
+		if r := sim.cluster(); r.Active != upgrade.Version1 {
+			t.Errorf("activated beside an older process: %+v", r)
+		}
+		sim.nodes[2].restart()
+		sim.awaitActive(upgrade.Current, time.Minute)
+	})
+}
+
+func TestAGateIsUsedWhileAnOlderProcessTakesTheLead(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		sim.allAt(upgrade.Version1)
+		for _, n := range sim.nodes[1:] {
+			n.kill()
+		}
+		sim.nodes[0].kill()
+		time.Sleep(5 * time.Second)
+		sim.onceBefore(leadKey, func() { sim.apply(clusterKey, gangInUse()) })
+		sim.nodes[0].start()
+		time.Sleep(20 * time.Second)
+		if sim.leader() != nil {
+			t.Error("a process of version 1 leads beside a gang job")
+		}
+		sim.nodes[1].replace(upgrade.Current)
+		sim.nodes[2].replace(upgrade.Current)
+		sim.awaitLeader()
+	})
+}
+
+func TestAProcessDoesntLeadBesideWhatItCantRead(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		sim.awaitActive(upgrade.Current, time.Minute)
+		sim.submitGang("000001")
+		for _, n := range sim.nodes {
+			n.kill()
+		}
+		sim.nodes[0].replace(upgrade.Version1)
+		time.Sleep(20 * time.Second)
+		if sim.leader() != nil {
+			t.Error("a process of version 1 leads beside a gang job")
+		}
+		if a := sim.askNode(sim.nodes[0], OpPoll, "000001", storage.Spec{}); a.Code != CodeUnavailable {
+			t.Errorf("it answers %+v", a)
+		}
+		sim.nodes[1].start()
+		sim.done("000001")
+		sim.awaitActive(upgrade.Version1, time.Minute)
+	})
+}
+
+func TestAVersionIsFinalizedWhileAnOlderProcessRegisters(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		sim.awaitActive(upgrade.Current, time.Minute)
+		back := sim.nodes[0]
+		if sim.awaitLeader() == back {
+			back = sim.nodes[1]
+		}
+		back.kill()
+		sim.onceBefore(registrationPrefix+back.name, func() {
+			record := sim.cluster()
+			record.Minimum, record.Phase = record.Active, upgrade.Finalized
+			sim.apply(clusterKey, record)
+		})
+		back.replace(upgrade.Version2)
+		sim.eventually("refused", 20*time.Second, func() bool { return back.refused.Load() != nil })
+		if r := sim.registrationOf(back.name); r.Max != upgrade.Current {
+			t.Errorf("it registered all the same: %+v", r)
+		}
+	})
+}
+
+func TestALateRegistrationOfAnEarlierProcessHasNoEffect(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		sim.allAt(upgrade.Version1)
+		sim.awaitLeader()
+		node := sim.nodes[0]
+		node.kill()
+		late := false
+		sim.state.Trouble(func(s *storagetest.Service) {
+			s.Late = func(tx storagetest.Txn) time.Duration {
+				if late || !sets(tx, registrationPrefix+node.name) {
+					return 0
+				}
+				late = true
+				return 15 * time.Second
+			}
+		})
+		node.replace(upgrade.Version1) // its registration is carried out late
+		time.Sleep(200 * time.Millisecond)
+		node.replace(upgrade.Current)
+		time.Sleep(30 * time.Second)
+		if r := sim.registrationOf(node.name); r.Max != upgrade.Current {
+			t.Errorf("the earlier process's registration stands: %+v", r)
+		}
+	})
+}
+
+func TestAProcessThatHasntRegisteredDoesntLead(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		sim.awaitActive(upgrade.Current, time.Minute)
+		for _, n := range sim.nodes {
+			n.kill()
+		}
+		sim.state.Trouble(func(s *storagetest.Service) {
+			s.Drop = func(tx storagetest.Txn) bool { return sets(tx, registrationPrefix+sim.nodes[0].name) }
+		})
+		sim.nodes[0].start()
+		time.Sleep(20 * time.Second)
+		if sim.leader() != nil {
+			t.Error("it leads, though the fleet may count it by an earlier process")
+		}
+		sim.state.Trouble(func(s *storagetest.Service) { s.Drop = nil })
+		sim.awaitLeader()
+	})
+}
+
+// A leader whose step has gone unanswered reads the record again before the next.
+func TestAnUnansweredStepIsReadAgain(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		sim.allAt(upgrade.Version1)
+		sim.awaitLeader()
+		lost := 0
+		sim.state.Trouble(func(s *storagetest.Service) {
+			s.Lose = func(tx storagetest.Txn) bool {
+				if touchesCluster(tx) {
+					lost++
+					return true
+				}
+				return false
+			}
+		})
+		sim.allAt(upgrade.Current)
+		sim.awaitActive(upgrade.Current, time.Minute)
+		sim.submitGang("000001")
+		sim.done("000001")
+		if lost < 3 {
+			t.Errorf("only %d answers were lost", lost)
+		}
+	})
+}
+
+// A deposed leader's step that comes late must not move the record under its successor.
+func TestADeposedLeadersStepHasNoEffect(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		sim.allAt(upgrade.Version1)
+		lead := sim.awaitLeader()
+		held := false
+		sim.state.Trouble(func(s *storagetest.Service) {
+			s.Late = func(tx storagetest.Txn) time.Duration {
+				if held || !touchesCluster(tx) {
+					return 0
+				}
+				held = true
+				return 15 * time.Second
+			}
+		})
+		sim.allAt(upgrade.Current)
+		sim.eventually("a step is late", time.Minute, func() bool { return held })
+		for _, n := range sim.nodes {
+			n.kill()
+		}
+		time.Sleep(16 * time.Second) // no successor steps before the late one comes
+		if r := sim.cluster(); r.Active != upgrade.Version1 {
+			t.Errorf("carried out for a leader that has ended: %+v", r)
+		}
+		lead.start()
+		sim.awaitLeader()
+	})
+}
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -256,6 +256,7 @@
 
 		headroomProperty: func(k, v string) { t.HeadroomDeviations = c.parseAmount(k, v, 0, 10) },
 	}
+	c.upgradeProperties(known, &t.Upgrade)
 	known[deprecatedHeadroomProperty] = known[headroomProperty]
 	if _, old := p.Get(deprecatedHeadroomProperty); old {
 		s.Warnings = append(s.Warnings, fmt.Sprintf("%s: %s: is deprecated, use %s", file, deprecatedHeadroomProperty, headroomProperty))
@@ -274,6 +275,9 @@
 	if c.err == nil && (t.LeaderLease < 100*time.Millisecond || t.LeaderLease > s.Lease) {
 		c.fail("leader.lease", "must be from 100ms to the workers' lease_s")
 	}
+	if policy := &t.Upgrade.Policy; c.err == nil && policy.Target > t.Upgrade.Versions.Max {
+		c.fail(targetProperty, fmt.Sprintf("version %d is unknown here: this program has versions %s", policy.Target, t.Upgrade.Versions))
+	}
 	if c.err == nil && t.DownWindow <= t.UpWindow {
 		c.fail("fleet.down.window", "must be longer than fleet.up.window")
 	}
--- a/internal/storage/storagetest/service.go
+++ b/internal/storage/storagetest/service.go
@@ -47,6 +47,8 @@
 	Drop func(Txn) bool
 	// Lose, if set, tells which are carried out without an answer.
 	Lose func(Txn) bool
+	// Before, if set, is called before each transaction is carried out.
+	Before func(Txn)
 	// Late, if set, tells of each after how long it is carried out, without an answer.
 	Late func(Txn) time.Duration
 }
@@ -277,7 +279,11 @@
 	if c.Late != nil {
 		late = max(late, c.Late(Txn{guards, ops}))
 	}
+	before := c.Before
 	c.mu.Unlock()
+	if before != nil {
+		before(Txn{guards, ops})
+	}
 	if drop {
 		<-ctx.Done()
 		return 0, storage.ErrUnknown
