An older leader keeps the fields of records that a newer one wrote

A record that a later version wrote into says so in a field; whoever rewrites it keeps what it doesn't know. Others aren't searched, so that it costs nothing today.

--- a/internal/coordination/upgrade_races_test.go
+++ b/internal/coordination/upgrade_races_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,12 +27,12 @@
 	}
 }
 
-// onceBefore has f run before the first transaction that sets a key.
-func (sim *simulation) onceBefore(key string, f func()) {
+// onceBefore has f run before the first transaction that sets a key to such a value.
+func (sim *simulation) onceBefore(key, value string, f func()) {
 	done := false
 	sim.state.Trouble(func(s *storagetest.Service) {
 		s.Before = func(tx storagetest.Txn) {
-			if !done && sets(tx, key) {
+			if !done && slices.ContainsFunc(tx.Ops, func(o storage.Op) bool { return o.Key == key && strings.Contains(string(o.Data), value) }) {
 				done = true
 				f()
 			}
@@ -71,7 +72,7 @@
 		sim.allAt(upgrade.Version1)
 		sim.awaitLeader()
 		node := sim.nodes[2].name
-		sim.onceBefore(clusterKey, func() {
+		sim.onceBefore(clusterKey, `"active":2`, func() {
 			sim.apply(registrationPrefix+node, upgrade.NewRegistration(node, "older", upgrade.Range{Min: 1, Max: 1}))
 		})
 		sim.allAt(upgrade.Current)
@@ -92,7 +93,7 @@
 		}
 		sim.nodes[0].kill()
 		time.Sleep(5 * time.Second)
-		sim.onceBefore(leadKey, func() { sim.apply(clusterKey, gangInUse()) })
+		sim.onceBefore(leadKey, "", func() { sim.apply(clusterKey, gangInUse()) })
 		sim.nodes[0].start()
 		time.Sleep(20 * time.Second)
 		if sim.leader() != nil {
@@ -133,7 +134,7 @@
 			back = sim.nodes[1]
 		}
 		back.kill()
-		sim.onceBefore(registrationPrefix+back.name, func() {
+		sim.onceBefore(registrationPrefix+back.name, "", func() {
 			record := sim.cluster()
 			record.Minimum, record.Phase = record.Active, upgrade.Finalized
 			sim.apply(clusterKey, record)
--- a/internal/storage/journal.go
+++ b/internal/storage/journal.go
@@ -192,7 +192,7 @@
 	}
 	*batches = j.drain(*batches)
 	j.applyLimits()
-	records := merge(*batches)
+	records := j.keepUnknown(merge(*batches))
 	if err := j.awaitEncoding(ctx, records); err != nil {
 		return err
 	}
