--- a/internal/coordination/upgrade_controller.go
+++ b/internal/coordination/upgrade_controller.go
@@ -41,7 +41,6 @@
 	users    gateUsage
 
 	cluster       clusterState
-	termVersion   uint64 // of the term record
 	registrations map[string]registrationState
 	outdated      bool // the registrations, or the record, have to be read again
 	counted       bool // uses have been counted in this term
@@ -61,7 +60,7 @@
 func newUpgradeController(s *Settings, deps Deps, role Role, users gateUsage, log *slog.Logger) *upgradeController {
 	return &upgradeController{
 		svc: deps.State, settings: s, peers: deps.Peers, log: log, lead: role.Guard, term: role.Term, users: users,
-		cluster: role.cluster, termVersion: role.Guard.Version, outdated: true,
+		cluster: role.cluster, outdated: true,
 		uses: make(chan upgrade.GateName, len(s.Tuning.Upgrade.Known)+1), changed: make(chan struct{}, 1),
 	}
 }
@@ -290,13 +289,11 @@
 		return fmt.Errorf("encode cluster record: %w", err)
 	}
 	ops := []storage.Op{{Key: clusterKey, Data: data}}
-	fenced := next.Fence != c.cluster.record.Fence
-	if fenced {
+	if next.Fence != c.cluster.record.Fence {
 		term, err := json.Marshal(upgrade.Term{Number: c.term, Fence: next.Fence})
 		if err != nil {
 			return fmt.Errorf("encode term: %w", err)
 		}
-		guards = append(guards, storage.Guard{Key: termKey, Version: c.termVersion})
 		ops = append(ops, storage.Op{Key: termKey, Data: term})
 	}
 	tctx, cancel := context.WithTimeout(ctx, c.settings.callTime())
@@ -310,9 +307,6 @@
 		return err
 	}
 	c.cluster = clusterState{record: next, version: version}
-	if fenced {
-		c.termVersion = version
-	}
 	return c.publish(ctx)
 }
 
--- a/internal/storage/encoding_test.go
+++ b/internal/storage/encoding_test.go
@@ -189,3 +189,31 @@
 		}
 	})
 }
+
+// What was written whole under higher limits isn't cut in fragments by compaction while the
+// gate is closed: its chunk stays.
+func TestCompactionWritesNoFragmentsWhileTheGateIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		svc, guard := lead(t)
+		_, first := openUnder(ctx, t, svc, storage.NewLimitTracker(limits), guard)
+		if err := first(map[string]any{"plarge": big(1, 4000)}); err != nil {
+			t.Fatal(err)
+		}
+		j, write := openLowered(ctx, t, svc, guard)
+		j.SetEncoding(storage.PlainOnly)
+		for i := range 300 {
+			if err := write(map[string]any{"f": i}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if keys := encodedKeys(t, svc); len(keys) > 0 {
+			t.Errorf("written while the gate is closed: %v", keys)
+		}
+		if got := reread(ctx, t, svc, guard); len(got["plarge"]) < 4000 {
+			t.Errorf("the large record reads back as %d bytes", len(got["plarge"]))
+		}
+	})
+}
--- a/internal/upgrade/transition_test.go
+++ b/internal/upgrade/transition_test.go
@@ -199,6 +199,13 @@
 	if waiting := w.runSteps(t); !strings.Contains(waiting, "gang-jobs") {
 		t.Errorf("waits for %q", waiting)
 	}
+	w.deposeLeader()
+	w.takeLead("n1")
+	if w.legacyLeader != nil {
+		t.Fatal("it leads during the withdrawal")
+	}
+	w.takeLead("n2")
+	w.hear("n1")
 	if w.leader.record.Gate(GangJobs).Usable() {
 		t.Error("new gang jobs are accepted during the withdrawal")
 	}
@@ -330,3 +337,24 @@
 		t.Errorf("closed: %s", step.What)
 	}
 }
+
+// A gate stays closed while one that it depends on is.
+func TestAGateWaitsForWhatItDependsOn(t *testing.T) {
+	registration := NewRegistration("n0", "1", Supported)
+	s := Situation{
+		Record:   Record{Schema: 1, Active: 2, Phase: Soaking},
+		Members:  []Member{{Node: "n0", Registered: &registration}, {Node: "n1", Unregistered: Version2}},
+		Versions: Supported, Known: Catalogue{{Name: "dependant", Since: 2, DependsOn: []GateName{FencedTerm}}, {Name: FencedTerm, Since: 1}},
+	}
+	if step := Next(s); step.Changed {
+		t.Errorf("%s", step.What)
+	}
+	s.Members = s.Members[:1]
+	s.Record = Next(s).Record
+	if s.Record.Gate(FencedTerm).Phase != GateOpen || s.Record.Gate("dependant").Phase != "" {
+		t.Errorf("%+v", s.Record)
+	}
+	if s.Record = Next(s).Record; s.Record.Gate("dependant").Phase != GateOpen {
+		t.Errorf("%+v", s.Record)
+	}
+}
