--- a/internal/loopbacktest/fleet.go
+++ b/internal/loopbacktest/fleet.go
@@ -48,6 +48,7 @@
 	client      *http.Client
 	stateAddr   string
 	cloudAddr   string
+	closed      bool
 }
 
 // leaseTiming is short enough for many steps, and long enough for a busy machine.
@@ -99,8 +100,12 @@
 	return l.Addr().String(), nil
 }
 
-// Close ends all processes and stand-ins.
+// Close ends all processes and stand-ins; a second call does nothing.
 func (f *Fleet) Close() {
+	if f.closed {
+		return
+	}
+	f.closed = true
 	for _, c := range f.Controllers {
 		c.Kill()
 	}
--- a/internal/loopbacktest/upgrade_test.go
+++ b/internal/loopbacktest/upgrade_test.go
@@ -58,12 +58,12 @@
 // drill is one fleet under a steady stream of jobs.
 type drill struct {
 	*Fleet
-	t      *testing.T
+	t      testing.TB
 	random *rand.Rand
 	jobs   []Job
 }
 
-func newDrill(t *testing.T, seed uint64) *drill {
+func newDrill(t testing.TB, seed uint64) *drill {
 	t.Helper()
 	f, err := NewFleet(t.TempDir())
 	if err != nil {
