--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -5,14 +5,9 @@
 import (
 	"errors"
 	"fmt"
-	"math"
-	"net"
 	"os"
-	"strconv"
 	"strings"
-	"time"
 
-	"github.com/magiconair/properties"
 	"github.com/pelletier/go-toml/v2"
 
 	"sagevale/internal/coordination"
@@ -170,195 +165,82 @@
 			ChangesPerS:  c.amount("params.state.write_rps", f.Params.State.WriteRPS, 0.1),
 			ValueBytes:   int(c.amount("params.state.value_kb", f.Params.State.ValueKB, 1) * 1024),
 			TxnOps:       c.count("params.state.txn_ops", f.Params.State.TxnOps, 3),
+			Next:         c.nextLimits(&f),
 		},
-	}
-	if next := f.Params.State.Next; next != nil {
-		l := &storage.Limits{
-			RequestsPerS: c.optional("params.state.next.rps", next.RPS, 0.1), ChangesPerS: c.optional("params.state.next.write_rps", next.WriteRPS, 0.1),
-			ValueBytes: int(c.optional("params.state.next.value_kb", next.ValueKB, 1) * 1024),
-			TxnOps:     int(c.optional("params.state.next.txn_ops", float64(next.TxnOps), 3)),
-		}
-		s.State.Next = l
+		Peers:      c.peers(&f),
+		Teams:      c.teams(&f),
+		Objectives: c.objectives(&f),
 	}
 	if c.err == nil && s.Lease <= s.Report {
 		c.fail("params.workers.lease_s", "must be longer than report_s")
 	}
+	if c.err != nil {
+		return nil, c.err
+	}
+	s.Tuning = s.DefaultTuning()
+	return s, nil
+}
+
+// minMemoryMB is the least that a node serves in: at rest it holds about half of it.
+const minMemoryMB = 16
+
+// nextLimits reads what the state service will take from some moment on; nil: not said.
+func (c *checker) nextLimits(f *settingsFile) *storage.Limits {
+	next := f.Params.State.Next
+	if next == nil {
+		return nil
+	}
+	return &storage.Limits{
+		RequestsPerS: c.optional("params.state.next.rps", next.RPS, 0.1),
+		ChangesPerS:  c.optional("params.state.next.write_rps", next.WriteRPS, 0.1),
+		ValueBytes:   int(c.optional("params.state.next.value_kb", next.ValueKB, 1) * 1024),
+		TxnOps:       int(c.optional("params.state.next.txn_ops", float64(next.TxnOps), 3)),
+	}
+}
+
+// peers reads the other controllers.
+func (c *checker) peers(f *settingsFile) []coordination.Peer {
+	var peers []coordination.Peer
 	for i, p := range f.Seeds {
 		field := fmt.Sprintf("seeds[%d].", i)
-		s.Peers = append(s.Peers, coordination.Peer{
+		peers = append(peers, coordination.Peer{
 			Name: c.text(field+"host_name", p.HostName), Zone: p.Zone, Addr: c.addr(field+"addr", p.Addr),
 		})
 		if p.HostName == f.HostName {
 			c.fail(field+"host_name", "is this node's own name")
 		}
 	}
+	return peers
+}
+
+// teams reads the teams with their guarantees and limits.
+func (c *checker) teams(f *settingsFile) []coordination.Team {
+	var teams []coordination.Team
 	seen := make(map[string]bool)
 	for i, t := range f.Params.Teams {
 		field := fmt.Sprintf("params.teams[%d].", i)
-		team := coordination.Team{
+		teams = append(teams, coordination.Team{
 			Name:      c.text(field+"name", t.Name),
 			Guarantee: storage.Room{CPUs: c.amount(field+"cpus", t.CPUs, 0), GPUs: c.amount(field+"gpus", t.GPUs, 0)},
 			Limit:     storage.Room{CPUs: c.amount(field+"cpus_max", t.CPUsMax, 0), GPUs: c.amount(field+"gpus_max", t.GPUsMax, 0)},
-		}
+		})
 		if seen[t.Name] {
 			c.fail(field+"name", "names a team twice")
 		}
 		seen[t.Name] = true
-		s.Teams = append(s.Teams, team)
 	}
+	return teams
+}
+
+// objectives reads the aims at start and finish.
+func (c *checker) objectives(f *settingsFile) []coordination.Objective {
+	var objectives []coordination.Objective
 	for i, o := range f.Params.Objectives {
 		field := fmt.Sprintf("params.objectives[%d].", i)
-		s.Objectives = append(s.Objectives, coordination.Objective{
+		objectives = append(objectives, coordination.Objective{
 			Kind: o.Kind, Class: o.Class, Share: c.amount(field+"share", o.Share, 0), Times: o.Times,
 			Within: c.duration(field+"within_s", o.WithinS, 0),
 		})
 	}
-	if c.err != nil {
-		return nil, c.err
-	}
-	s.Tuning = s.DefaultTuning()
-	return s, nil
-}
-
-// headroomProperty was called otherwise first; operators' files may still say so.
-const (
-	headroomProperty           = "fleet.headroom.deviations"
-	deprecatedHeadroomProperty = "fleet.reserve.luck"
-)
-
-// minMemoryMB is the least that a node serves in: at rest it holds about half of it.
-const minMemoryMB = 16
-
-// parseProperties checks the operators' own settings.
-func parseProperties(file string, raw []byte, s *coordination.Settings) error {
-	p, err := properties.Load(raw, properties.UTF8)
-	if err != nil {
-		return &FieldError{File: file, Reason: reason(err)}
-	}
-	c := checker{file: file}
-	t := &s.Tuning
-	span := func(d *time.Duration) func(string, string) {
-		return func(key, v string) {
-			x, err := time.ParseDuration(v)
-			if err != nil || x <= 0 {
-				c.fail(key, "must be a positive duration such as 10s")
-				return
-			}
-			*d = x
-		}
-	}
-	known := map[string]func(string, string){
-		"fleet.up.window":   span(&t.UpWindow),
-		"fleet.down.window": span(&t.DownWindow),
-		"fleet.cooldown":    span(&t.Cooldown),
-		"leader.lease":      span(&t.LeaderLease),
-		"fleet.grow.step":   func(k, v string) { t.GrowStep = c.parseCount(k, v, 1, 50) },
-
-		headroomProperty: func(k, v string) { t.HeadroomDeviations = c.parseAmount(k, v, 0, 10) },
-	}
-	c.upgradeProperties(known, &t.Upgrade)
-	known[deprecatedHeadroomProperty] = known[headroomProperty]
-	if _, old := p.Get(deprecatedHeadroomProperty); old {
-		s.Warnings = append(s.Warnings, fmt.Sprintf("%s: %s: is deprecated, use %s", file, deprecatedHeadroomProperty, headroomProperty))
-		if _, both := p.Get(headroomProperty); both {
-			c.fail(deprecatedHeadroomProperty, "is the deprecated name of "+headroomProperty+", which is given too")
-		}
-	}
-	for _, key := range p.Keys() {
-		set := known[key]
-		if set == nil {
-			c.fail(key, "unknown property")
-			continue
-		}
-		set(key, strings.TrimSpace(p.GetString(key, "")))
-	}
-	if c.err == nil && (t.LeaderLease < 100*time.Millisecond || t.LeaderLease > s.Lease) {
-		c.fail("leader.lease", "must be from 100ms to the workers' lease_s")
-	}
-	if policy := &t.Upgrade.Policy; c.err == nil && policy.Target > t.Upgrade.Versions.Max {
-		c.fail(targetProperty, fmt.Sprintf("version %d is unknown here: this program has versions %s", policy.Target, t.Upgrade.Versions))
-	}
-	if c.err == nil && t.DownWindow <= t.UpWindow {
-		c.fail("fleet.down.window", "must be longer than fleet.up.window")
-	}
-	if c.err != nil {
-		return c.err
-	}
-	return nil
-}
-
-// checker keeps the first thing found wrong.
-type checker struct {
-	file string
-	err  error
-}
-
-// optional is amount for a figure that may be left out.
-func (c *checker) optional(field string, v, least float64) float64 {
-	if v == 0 {
-		return 0
-	}
-	return c.amount(field, v, least)
-}
-
-func (c *checker) fail(field, reason string) {
-	if c.err == nil {
-		c.err = &FieldError{c.file, field, reason}
-	}
-}
-
-func (c *checker) text(field, v string) string {
-	if v == "" {
-		c.fail(field, "is missing or empty")
-	}
-	return v
-}
-
-func (c *checker) addr(field, v string) string {
-	host, port, err := net.SplitHostPort(v)
-	n, perr := strconv.Atoi(port)
-	if err != nil || perr != nil || n < 1 || n > 65535 || net.ParseIP(host) == nil {
-		c.fail(field, fmt.Sprintf("%q is not an IP address with a port", v))
-	}
-	return v
-}
-
-func (c *checker) amount(field string, v, least float64) float64 {
-	if math.IsNaN(v) || math.IsInf(v, 0) || v < least {
-		c.fail(field, fmt.Sprintf("is missing or out of range (at least %g)", least))
-		return least
-	}
-	return v
-}
-
-func (c *checker) duration(field string, v, least float64) time.Duration {
-	const most = 1e9
-	if v > most {
-		c.fail(field, "is out of range")
-		return 0
-	}
-	return time.Duration(c.amount(field, v, least) * float64(time.Second))
-}
-
-func (c *checker) count(field string, v, least int) int {
-	if v < least {
-		c.fail(field, fmt.Sprintf("is missing or out of range (at least %d)", least))
-	}
-	return v
-}
-
-func (c *checker) parseCount(field, v string, least, most int) int {
-	n, err := strconv.Atoi(v)
-	if err != nil || n < least || n > most {
-		c.fail(field, fmt.Sprintf("must be a whole number from %d to %d", least, most))
-	}
-	return n
-}
-
-func (c *checker) parseAmount(field, v string, least, most float64) float64 {
-	x, err := strconv.ParseFloat(v, 64)
-	if err != nil || math.IsNaN(x) || x < least || x > most {
-		c.fail(field, fmt.Sprintf("must be a number from %g to %g", least, most))
-	}
-	return x
+	return objectives
 }
