--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -205,8 +205,9 @@
 	if err != nil {
 		return clusterState{}, err
 	}
+	// A target that was overtaken is told to a process that begins, and ends none that serves.
 	own := &l.settings.Tuning.Upgrade
-	if err := upgrade.Admit(cluster.record, own.Versions, own.Policy); err != nil {
+	if err := upgrade.Admit(cluster.record, own.Versions, upgrade.Policy{}); err != nil {
 		return clusterState{}, err
 	}
 	return cluster, upgrade.MayLead(cluster.record, own.Versions, own.Known)
--- a/internal/coordination/membership.go
+++ b/internal/coordination/membership.go
@@ -77,7 +77,7 @@
 		}
 		if err != nil {
 			m.report(err)
-			storage.Sleep(ctx, m.settings.Tuning.LeaderLease/(4*touchesPerLease))
+			storage.Sleep(ctx, m.settings.Tuning.LeaderLease/touchesPerLease)
 		}
 	}
 	m.keepSession(ctx)
--- a/internal/coordination/upgrade_test.go
+++ b/internal/coordination/upgrade_test.go
@@ -482,3 +482,38 @@
 	sim.submitGang("000100")
 	sim.done("000100")
 }
+
+// A target that another leader has gone beyond refuses a process that begins, in one line,
+// but ends none that serves.
+func TestATargetBelowTheActiveVersion(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		held := func(s *upgrade.Settings) { s.Policy.Target = upgrade.Version2 }
+		for _, n := range sim.nodes {
+			n.upgrade = held
+			n.restart()
+		}
+		sim.awaitActive(upgrade.Version2, time.Minute)
+		sim.awaitLeader().replace(upgrade.Current)
+		for _, n := range sim.nodes {
+			if n.node.settings.Tuning.Upgrade.Policy.Target == 0 {
+				continue
+			}
+			n.cutState.Store(true) // so that the one without a target leads
+			defer n.cutState.Store(false)
+		}
+		sim.awaitActive(upgrade.Current, time.Minute)
+		for _, n := range sim.nodes {
+			n.cutState.Store(false)
+		}
+		sim.awaitLeader().kill()
+		lead := sim.awaitLeader()
+		if r := sim.cluster(); r.Active != upgrade.Current {
+			t.Errorf("the target of the next leader lowers the version: %+v", r)
+		}
+		lead.restart()
+		sim.eventually("refused", 20*time.Second, func() bool { return lead.refused.Load() != nil })
+		if why := (*lead.refused.Load()).Error(); !strings.HasPrefix(why, "upgrade.target: ") || strings.Contains(why, "\n") {
+			t.Errorf("refused with %q", why)
+		}
+	})
+}
--- a/internal/upgrade/transition.go
+++ b/internal/upgrade/transition.go
@@ -212,7 +212,7 @@
 func openGates(s *Situation) Step {
 	record := s.Record.clone()
 	opened := s.open(&record)
-	if len(opened) == 0 || s.Policy.Hold {
+	if len(opened) == 0 {
 		return Step{}
 	}
 	return s.change(record, "gates %v open", opened)
