--- a/internal/loopbacktest/upgrade_test.go
+++ b/internal/loopbacktest/upgrade_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"sagevale/internal/storage"
 	"sagevale/internal/upgrade"
 )
 
@@ -245,3 +246,40 @@
 	d.submit(Job{ID: "job-000002", Shape: "sweep", Tasks: 3, Run: 200 * time.Millisecond})
 	d.check()
 }
+
+// upgradeStatus runs the operators' command.
+func (d *drill) upgradeStatus(c *Controller) (string, error) {
+	out, err := exec.Command(newer.Binary, "upgrade", "status", "--config", filepath.Join(d.dir, c.Name+".toml")).CombinedOutput()
+	return string(out), err
+}
+
+// The status is read from the state service alone, and a damaged record is named.
+func TestUpgradeStatus(t *testing.T) {
+	d := newDrill(t, 1)
+	for _, c := range d.Controllers[:2] {
+		d.start(c, newer)
+	}
+	d.eventually("waiting for the third node", 20*time.Second, func() bool {
+		out, err := d.upgradeStatus(d.Controllers[0])
+		return err == nil && strings.Contains(out, "version 2: the versions of node node-2 are not known") && strings.Contains(out, "not registered")
+	})
+	d.start(d.Controllers[2], newer)
+	d.eventually("active", 20*time.Second, func() bool { return d.active(upgrade.Current) })
+	d.submit(Job{ID: "job-000001", Shape: "group", Tasks: 2, Run: 100 * time.Millisecond})
+	out, err := d.upgradeStatus(d.Controllers[1])
+	if err != nil {
+		t.Fatal(err, out)
+	}
+	t.Log("\n" + out)
+	for _, want := range []string{"active version:", "soaking", "gang-jobs", "fenced-term", "node-2", "1 to 3", "held back by upgrade.finalize"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("%q is missing in:\n%s", want, out)
+		}
+	}
+	if _, err := d.State.Store.Apply(nil, []storage.Op{{Key: "upgrade/cluster", Data: []byte(`{"schema":1}`)}}); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := d.upgradeStatus(d.Controllers[1]); err == nil || !strings.Contains(out, "key upgrade/cluster is damaged") || strings.Count(out, "\n") != 1 {
+		t.Errorf("%v: %s", err, out)
+	}
+}
--- a/internal/upgrade/decode_test.go
+++ b/internal/upgrade/decode_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"os"
 	"testing"
 )
 
@@ -139,3 +140,30 @@
 		}
 	})
 }
+
+// What version 3 stores is frozen in testdata: it is read, and written again byte for byte.
+func TestWhatVersion3StoredIsRead(t *testing.T) {
+	raw, err := os.ReadFile("testdata/version3.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var stored map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &stored); err != nil {
+		t.Fatal(err)
+	}
+	for key, decode := range map[string]func([]byte) (any, error){
+		"cluster":   func(data []byte) (any, error) { return DecodeRecord("", data) },
+		"node-0":    func(data []byte) (any, error) { return DecodeRegistration("", "node-0", data) },
+		"term":      func(data []byte) (any, error) { return DecodeTerm("", data) },
+		"bare term": func(data []byte) (any, error) { return DecodeTerm("", data) },
+	} {
+		value, err := decode(stored[key])
+		if err != nil {
+			t.Errorf("%s: %v", key, err)
+			continue
+		}
+		if written, err := json.Marshal(value); err != nil || !bytes.Equal(written, stored[key]) {
+			t.Errorf("%s is written as %s, %v", key, written, err)
+		}
+	}
+}
