A gate that nothing has depended on for long counts as unused again

Need: one gang job, ever, kept all controllers from going back at once. The leader has its other actors take the gate for unused, counts again, and stores that; while a release may yet be carried out, a new use is stored anew. Random histories (20,000) find the undone use when that is left out.

--- a/internal/coordination/settings.go
+++ b/internal/coordination/settings.go
@@ -92,6 +92,7 @@
 	growStepDefault = 4 * maxRental // DESIGN starts at 4
 	headroomDefault = 1.0
 	soakPerLease    = 30
+	releasePerLease = 30
 
 	// driftBound covers the workers' and our own steady clocks.
 	driftBound = 1.002
@@ -120,6 +121,7 @@
 func (s *Settings) defaultUpgrade() upgrade.Settings {
 	settings := upgrade.DefaultSettings()
 	settings.Policy.Soak = scale(s.Lease, soakPerLease)
+	settings.Policy.ReleaseAfter = scale(s.Lease, releasePerLease)
 	return settings
 }
 
--- a/internal/coordination/upgrade_controller.go
+++ b/internal/coordination/upgrade_controller.go
@@ -20,6 +20,9 @@
 	upgradeTicks = touchesPerLease
 	// firstUnregistered is the least that a process which registers tells its peers.
 	firstUnregistered = 3
+	// countsPerRelease is how often uses are counted within the time after which an
+	// unused gate is released.
+	countsPerRelease = 20
 )
 
 // gateUsage is what the leader's other actors count of the gates' uses.
@@ -42,9 +45,13 @@
 
 	cluster       clusterState
 	registrations map[string]registrationState
-	outdated      bool // the registrations, or the record, have to be read again
-	counted       bool // uses have been counted in this term
-	waiting       string
+	outdated      bool                           // the registrations, or the record, have to be read again
+	nextCount     time.Time                      // when uses of gates are counted next
+	unusedSince   map[upgrade.GateName]time.Time // since when nothing has depended on a gate
+	// tentative is in force for the other actors instead of the record, while the release
+	// of a gate is on its way and may yet be carried out; nil: the record itself is.
+	tentative *upgrade.Record
+	waiting   string
 
 	uses    chan upgrade.GateName
 	changed chan struct{}
@@ -60,7 +67,7 @@
 func newUpgradeController(s *Settings, deps Deps, role Role, users gateUsage, log *slog.Logger) *upgradeController {
 	return &upgradeController{
 		svc: deps.State, settings: s, peers: deps.Peers, log: log, lead: role.Guard, term: role.Term, users: users,
-		cluster: role.cluster, outdated: true,
+		cluster: role.cluster, outdated: true, unusedSince: make(map[upgrade.GateName]time.Time),
 		uses: make(chan upgrade.GateName, len(s.Tuning.Upgrade.Known)+1), changed: make(chan struct{}, 1),
 	}
 }
@@ -157,6 +164,12 @@
 			c.tellWaiting(ctx, step.Waiting)
 			return nil
 		}
+		if step.Releases != "" {
+			unused, err := c.barUses(ctx, step)
+			if err != nil || !unused {
+				return c.tolerate("gate not released", err)
+			}
+		}
 		if err := c.store(ctx, step.Record, situation.Members); err != nil {
 			return c.tolerate("upgrade step not stored", err)
 		}
@@ -169,7 +182,7 @@
 // returned.
 func (c *upgradeController) tolerate(what string, err error) error {
 	var damaged *upgrade.DamagedError
-	if errors.Is(err, storage.ErrDeposed) || errors.As(err, &damaged) {
+	if err == nil || errors.Is(err, storage.ErrDeposed) || errors.As(err, &damaged) {
 		return err
 	}
 	c.outdated = true
@@ -191,7 +204,7 @@
 		return err
 	}
 	if cluster.version != c.cluster.version {
-		c.cluster = cluster
+		c.cluster, c.tentative = cluster, nil
 		if err := c.publish(ctx); err != nil {
 			return err
 		}
@@ -235,17 +248,60 @@
 		Record: c.cluster.record, Members: c.members(), Versions: own.Versions, Known: own.Known,
 		Policy: own.Policy, Now: time.Now(), Term: c.term,
 	}
-	if c.counted && s.Record.Phase != upgrade.Withdrawing {
+	if s.Now.Before(c.nextCount) && s.Record.Phase != upgrade.Withdrawing {
 		return s, nil
 	}
-	usage, err := c.users.setGates(ctx, s.Record, true)
+	usage, err := c.users.setGates(ctx, c.inForce(), true)
 	if err != nil {
 		return s, err
 	}
-	s.Usage, c.counted = usage, true
+	c.nextCount = s.Now.Add(own.Policy.ReleaseAfter / countsPerRelease)
+	s.Usage, s.Unused = usage, c.noteUsage(usage, s.Now)
 	return s, nil
 }
 
+// noteUsage takes in a count, and returns for how long each gate has been unused.
+func (c *upgradeController) noteUsage(usage upgrade.Usage, now time.Time) map[upgrade.GateName]time.Duration {
+	unused := make(map[upgrade.GateName]time.Duration)
+	for name, uses := range usage {
+		since, noted := c.unusedSince[name]
+		switch {
+		case uses > 0:
+			delete(c.unusedSince, name)
+		case !noted:
+			c.unusedSince[name] = now
+		default:
+			unused[name] = now.Sub(since)
+		}
+	}
+	return unused
+}
+
+// inForce is what the other actors go by.
+func (c *upgradeController) inForce() upgrade.Record {
+	if c.tentative != nil {
+		return *c.tentative
+	}
+	return c.cluster.record
+}
+
+// barUses has the other actors take a gate for unused before that is stored, and tells
+// whether nothing depends on it then. From here on a use has to be stored anew, for the
+// release may be carried out late.
+func (c *upgradeController) barUses(ctx context.Context, step upgrade.Step) (unused bool, err error) {
+	c.tentative = &step.Record
+	usage, err := c.users.setGates(ctx, step.Record, true)
+	if err != nil {
+		return false, err
+	}
+	if usage[step.Releases] == 0 {
+		return true, nil
+	}
+	c.tentative = nil
+	delete(c.unusedSince, step.Releases)
+	return false, c.publish(ctx)
+}
+
 // members lists all controllers with what is known of their versions.
 func (c *upgradeController) members() []upgrade.Member {
 	members := []upgrade.Member{c.member(c.settings.Node)}
@@ -306,13 +362,14 @@
 	if err != nil {
 		return err
 	}
-	c.cluster = clusterState{record: next, version: version}
+	c.cluster, c.tentative = clusterState{record: next, version: version}, nil
 	return c.publish(ctx)
 }
 
 // use takes a gate into use, for what is about to depend on it.
 func (c *upgradeController) use(ctx context.Context, gate upgrade.GateName) error {
-	if c.cluster.record.Gate(gate).Usable() {
+	delete(c.unusedSince, gate)
+	if c.inForce().Gate(gate).Usable() {
 		return c.tolerate("gates not published", c.publish(ctx))
 	}
 	next, err := upgrade.Use(c.cluster.record, gate, c.term)
@@ -329,7 +386,7 @@
 
 // publish tells the leader's other actors what is in force.
 func (c *upgradeController) publish(ctx context.Context) error {
-	_, err := c.users.setGates(ctx, c.cluster.record, false)
+	_, err := c.users.setGates(ctx, c.inForce(), false)
 	return err
 }
 
--- a/internal/upgrade/history_test.go
+++ b/internal/upgrade/history_test.go
@@ -37,6 +37,7 @@
 		Target:       rapid.SampledFrom([]Version{0, 0, 0, 2, 3}).Draw(t, "target"),
 		AutoFinalize: rapid.Bool().Draw(t, "finalize"),
 		Soak:         time.Minute,
+		ReleaseAfter: rapid.SampledFrom([]time.Duration{0, time.Minute}).Draw(t, "release"),
 	}
 	w := newWorld(rapid.IntRange(3, 5).Draw(t, "nodes"), policy)
 	node := rapid.SampledFrom(w.nodes)
@@ -75,6 +76,7 @@
 		"depend":     func(t *rapid.T) { w.depend(gate.Draw(t, "gate"), fate.Draw(t, "fate")) },
 		"drain":      func(t *rapid.T) { w.dependants[gate.Draw(t, "gate")] = 0 },
 		"soak":       func(*rapid.T) { w.now = w.now.Add(policy.Soak / 2) },
+		"idle":       func(*rapid.T) { w.idle = time.Minute },
 		"late": func(t *rapid.T) {
 			if len(w.late) > 0 {
 				w.apply(w.late[rapid.IntRange(0, len(w.late)-1).Draw(t, "which")])
--- a/internal/upgrade/model_test.go
+++ b/internal/upgrade/model_test.go
@@ -57,6 +57,7 @@
 	recordGuard   int
 	registrations map[string]stored
 	told          map[string]Version // of processes that don't register, by their own word
+	tentative     bool               // a release is on its way: a use must be stored anew
 }
 
 // world is the model's state.
@@ -73,6 +74,7 @@
 	dependants   map[GateName]int // what is stored that depends on a gate
 	policy       Policy
 	now          time.Time
+	idle         time.Duration // for how long what nothing depends on has been unused
 	// legacyTwo tells that a version 2 that doesn't register has been in the fleet. It
 	// uses its gates unasked, and bars no version 1: see docs/rolling-upgrade.md.
 	legacyTwo bool
@@ -242,6 +244,7 @@
 // refresh has the leader read what is stored.
 func (w *world) refresh() {
 	if l := w.leader; l != nil {
+		l.tentative = l.tentative && l.recordGuard == w.keys[modelCluster].revision
 		l.record, l.recordGuard = w.record(), w.keys[modelCluster].revision
 		l.registrations = make(map[string]stored)
 		for _, node := range w.nodes {
@@ -284,10 +287,19 @@
 	p := w.leader.process
 	return Next(Situation{
 		Record: w.leader.record, Members: w.members(), Versions: p.versions, Known: p.known(),
-		Usage: maps.Clone(w.dependants), Policy: w.policy, Now: w.now, Term: w.leader.term,
+		Usage: maps.Clone(w.dependants), Unused: w.unused(), Policy: w.policy, Now: w.now, Term: w.leader.term,
 	})
 }
 
+// unused tells for how long nothing has depended on each gate, as an earlier count may have it.
+func (w *world) unused() map[GateName]time.Duration {
+	unused := make(map[GateName]time.Duration)
+	for _, gate := range modelGates {
+		unused[gate.Name] = w.idle
+	}
+	return unused
+}
+
 // transactionOf is how a leader stores a record.
 func (w *world) transactionOf(record Record, withMembers bool) transaction {
 	data, err := json.Marshal(record)
@@ -334,7 +346,7 @@
 		w.refresh()
 		return false
 	}
-	w.leader.record, w.leader.recordGuard = record, w.revision
+	w.leader.record, w.leader.recordGuard, w.leader.tentative = record, w.revision, false
 	return true
 }
 
@@ -347,6 +359,7 @@
 	if !step.Changed {
 		return step, false
 	}
+	w.leader.tentative = w.leader.tentative || step.Releases != ""
 	return step, w.send(step.Record, true, fate)
 }
 
@@ -356,7 +369,7 @@
 	case w.legacyLeader != nil && w.legacyLeader.versions.Max >= Version2 && (name == GangJobs || name == CompressedChunks):
 		w.dependants[name]++ // it asks no one
 	case w.leader == nil:
-	case w.leader.record.Gate(name).Usable():
+	case w.leader.record.Gate(name).Usable() && !w.leader.tentative:
 		if _, ok := w.leader.process.known().find(name); ok && w.lead == w.leader.leadRevision {
 			w.dependants[name]++
 		}
--- a/internal/upgrade/transition.go
+++ b/internal/upgrade/transition.go
@@ -12,6 +12,9 @@
 	Target       Version       // activate nothing beyond; 0: all that every controller has
 	AutoFinalize bool          // finalize after the soak
 	Soak         time.Duration // how long a version is active before that
+	// ReleaseAfter is for how long nothing must have depended on a gate before it
+	// counts as unused again. 0: never.
+	ReleaseAfter time.Duration
 }
 
 // Usage counts what depends on each gate, as the leader has it in its state. Where it is
@@ -25,6 +28,7 @@
 	Versions Range    // the leader's own
 	Known    Catalogue
 	Usage    Usage
+	Unused   map[GateName]time.Duration // for how long nothing has depended on a gate
 	Policy   Policy
 	Now      time.Time
 	Term     uint64
@@ -35,14 +39,17 @@
 	Changed bool
 	Record  Record // the next one, if Changed
 	What    string // what the step does, for operators
-	Waiting string // where nothing changed: what for; "": nothing is left to do
+	// Releases is a gate that counts as unused after the step. Whoever stores the step must
+	// first see to it that nothing comes to depend on the gate meanwhile.
+	Releases GateName
+	Waiting  string // where nothing changed: what for; "": nothing is left to do
 }
 
 // Next decides on the next single step. It is pure: the same situation gives the same
 // step, so that a later leader goes on where an earlier one stopped.
 func Next(s Situation) Step {
 	var waiting Step
-	for _, rule := range []func(*Situation) Step{withdraw, lowerFence, reopen, openGates, adopt, activate, finalize} {
+	for _, rule := range []func(*Situation) Step{withdraw, lowerFence, reopen, openGates, adopt, release, activate, finalize} {
 		step := rule(&s)
 		if step.Changed {
 			return step
@@ -296,6 +303,40 @@
 	return Step{}
 }
 
+// release notes that nothing depends on a gate any longer, so that versions may lead again
+// that lack it. It takes long disuse, for the next use has to be stored first.
+func release(s *Situation) Step {
+	if s.Policy.ReleaseAfter == 0 || s.Usage == nil {
+		return Step{}
+	}
+	for _, name := range s.Record.GateNames() {
+		gate := s.Record.Gates[name]
+		if name == FencedTerm || !gate.Usable() || gate.Since <= s.Record.Minimum || s.Usage[name] > 0 || s.Unused[name] < s.Policy.ReleaseAfter {
+			continue
+		}
+		next := s.Record.clone()
+		gate.Used = false
+		next.Gates[name] = gate
+		fitFence(&next)
+		step := s.change(next, "gate %s is unused again", name)
+		step.Releases = name
+		return step
+	}
+	return Step{}
+}
+
+// fitFence lowers the fence to what is still needed.
+func fitFence(record *Record) {
+	fence, open := record.Gates[FencedTerm]
+	if !open {
+		return
+	}
+	fence.Used = false
+	record.Gates[FencedTerm] = fence
+	record.Fence = 0
+	raiseFence(record)
+}
+
 // finalize refuses older versions from now on, once the operators' soak is over.
 func finalize(s *Situation) Step {
 	if s.Record.Phase != Soaking || s.Record.Active <= s.Record.Minimum {
