--- a/internal/coordination/upgrade_controller.go
+++ b/internal/coordination/upgrade_controller.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"log/slog"
 	"slices"
-	"strings"
 	"time"
 
 	"sagevale/internal/storage"
@@ -18,19 +17,8 @@
 	// upgradeTicks is how often a leader looks at an upgrade under way, within the life
 	// of its grant; one that is settled is looked at once a report interval.
 	upgradeTicks = touchesPerLease
-	// firstUnregistered is the least that a process which registers tells its peers.
-	firstUnregistered = 3
-	// countsPerRelease is how often uses are counted within the time after which an
-	// unused gate is released.
-	countsPerRelease = 20
 )
 
-// gateUsage is what the leader's other actors count of the gates' uses.
-type gateUsage interface {
-	// setGates publishes what is in force and returns what depends on it since.
-	setGates(ctx context.Context, record upgrade.Record, count bool) (upgrade.Usage, error)
-}
-
 // upgradeController is the leader's actor that moves the cluster record. Only it writes
 // the record, so what it holds is exact: the take-over was guarded by the record that the
 // term began with.
@@ -57,13 +45,6 @@
 	changed chan struct{}
 }
 
-// registrationState is a registration as it is stored.
-type registrationState struct {
-	registration *upgrade.Registration // nil: none, or damaged
-	damaged      bool
-	version      uint64
-}
-
 func newUpgradeController(s *Settings, deps Deps, role Role, users gateUsage, log *slog.Logger) *upgradeController {
 	return &upgradeController{
 		svc: deps.State, settings: s, peers: deps.Peers, log: log, lead: role.Guard, term: role.Term, users: users,
@@ -72,14 +53,6 @@
 	}
 }
 
-// requestUse asks for a gate to be taken into use; what can't be taken in is asked again.
-func (c *upgradeController) requestUse(gate upgrade.GateName) {
-	select {
-	case c.uses <- gate:
-	default:
-	}
-}
-
 // run moves the record until the term ends.
 func (c *upgradeController) run(ctx context.Context) error {
 	go c.watchRegistrations(ctx)
@@ -113,40 +86,6 @@
 	return c.settings.Report
 }
 
-// watchRegistrations tells the actor of each change of a registration.
-func (c *upgradeController) watchRegistrations(ctx context.Context) {
-	hold := c.settings.Lease
-	revision := c.lead.Version
-	for ctx.Err() == nil {
-		wctx, cancel := context.WithTimeout(ctx, hold+c.settings.Tuning.LeaderLease)
-		changes, next, err := c.svc.Watch(wctx, registrationPrefix, revision, hold)
-		cancel()
-		switch {
-		case errors.Is(err, storage.ErrCompacted):
-			revision, _ = c.latestRevision(ctx)
-		case err != nil:
-			storage.Sleep(ctx, c.settings.Tuning.LeaderLease/touchesPerLease)
-			continue
-		case len(changes) == 0:
-			revision = next
-			continue
-		default:
-			revision = next
-		}
-		select {
-		case c.changed <- struct{}{}:
-		default:
-		}
-	}
-}
-
-func (c *upgradeController) latestRevision(ctx context.Context) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.settings.callTime())
-	defer cancel()
-	_, _, revision, err := c.svc.List(ctx, registrationPrefix, "", 1)
-	return revision, err
-}
-
 // advance takes the steps that can be taken now. An error ends the term.
 func (c *upgradeController) advance(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -213,34 +152,6 @@
 	return nil
 }
 
-// upgradeKeysMost is more keys than upgrades ever have.
-const upgradeKeysMost = 1000
-
-// parseUpgradeKeys sorts the keys of upgrades. A damaged registration is no error, for only
-// the node that it names is unknown then.
-func parseUpgradeKeys(items []storage.Item) (clusterState, map[string]registrationState, error) {
-	cluster := clusterState{record: upgrade.Initial()}
-	registrations := make(map[string]registrationState)
-	for _, item := range items {
-		if item.Key == clusterKey {
-			record, err := upgrade.DecodeRecord(item.Key, item.Data)
-			if err != nil {
-				return clusterState{}, nil, err
-			}
-			cluster = clusterState{record: record, version: item.Version}
-		}
-		if node, ok := strings.CutPrefix(item.Key, registrationPrefix); ok {
-			registration, err := upgrade.DecodeRegistration(item.Key, node, item.Data)
-			state := registrationState{damaged: err != nil, version: item.Version}
-			if err == nil {
-				state.registration = &registration
-			}
-			registrations[node] = state
-		}
-	}
-	return cluster, registrations, nil
-}
-
 // situation gathers what the next step rests on.
 func (c *upgradeController) situation(ctx context.Context) (upgrade.Situation, error) {
 	own := &c.settings.Tuning.Upgrade
@@ -260,78 +171,6 @@
 	return s, nil
 }
 
-// noteUsage takes in a count, and returns for how long each gate has been unused.
-func (c *upgradeController) noteUsage(usage upgrade.Usage, now time.Time) map[upgrade.GateName]time.Duration {
-	unused := make(map[upgrade.GateName]time.Duration)
-	for name, uses := range usage {
-		since, noted := c.unusedSince[name]
-		switch {
-		case uses > 0:
-			delete(c.unusedSince, name)
-		case !noted:
-			c.unusedSince[name] = now
-		default:
-			unused[name] = now.Sub(since)
-		}
-	}
-	return unused
-}
-
-// inForce is what the other actors go by.
-func (c *upgradeController) inForce() upgrade.Record {
-	if c.tentative != nil {
-		return *c.tentative
-	}
-	return c.cluster.record
-}
-
-// barUses has the other actors take a gate for unused before that is stored, and tells
-// whether nothing depends on it then. From here on a use has to be stored anew, for the
-// release may be carried out late.
-func (c *upgradeController) barUses(ctx context.Context, step upgrade.Step) (unused bool, err error) {
-	c.tentative = &step.Record
-	usage, err := c.users.setGates(ctx, step.Record, true)
-	if err != nil {
-		return false, err
-	}
-	if usage[step.Releases] == 0 {
-		return true, nil
-	}
-	c.tentative = nil
-	delete(c.unusedSince, step.Releases)
-	return false, c.publish(ctx)
-}
-
-// members lists all controllers with what is known of their versions.
-func (c *upgradeController) members() []upgrade.Member {
-	members := []upgrade.Member{c.member(c.settings.Node)}
-	for _, p := range c.settings.Peers {
-		m := c.member(p.Name)
-		if status, ok := c.peers.Status(p.Name); ok {
-			m.Unregistered = unregisteredVersion(status.Version)
-		}
-		members = append(members, m)
-	}
-	return members
-}
-
-func (c *upgradeController) member(node string) upgrade.Member {
-	state := c.registrations[node]
-	return upgrade.Member{Node: node, Registered: state.registration, Damaged: state.damaged}
-}
-
-// unregisteredVersion is the version of a process that doesn't register, by what it tells
-// its peers; 0: it registers.
-func unregisteredVersion(told int) upgrade.Version {
-	switch {
-	case told >= firstUnregistered:
-		return 0
-	case told == int(upgrade.Version2):
-		return upgrade.Version2
-	}
-	return upgrade.Version1
-}
-
 // store writes a step in one transaction. It is guarded by the lead, the record and every
 // registration that the step rests on: an older process that has registered meanwhile
 // bars it, as does a later leader.
@@ -366,30 +205,6 @@
 	return c.publish(ctx)
 }
 
-// use takes a gate into use, for what is about to depend on it.
-func (c *upgradeController) use(ctx context.Context, gate upgrade.GateName) error {
-	delete(c.unusedSince, gate)
-	if c.inForce().Gate(gate).Usable() {
-		return c.tolerate("gates not published", c.publish(ctx))
-	}
-	next, err := upgrade.Use(c.cluster.record, gate, c.term)
-	if err != nil {
-		c.log.Debug("gate not used", "err", err)
-		return nil
-	}
-	if err := c.store(ctx, next, nil); err != nil {
-		return c.tolerate("use of a gate not stored", err)
-	}
-	c.log.Info("upgrade", "step", fmt.Sprintf("gate %s is in use", gate), "active", next.Active, "phase", next.Phase)
-	return nil
-}
-
-// publish tells the leader's other actors what is in force.
-func (c *upgradeController) publish(ctx context.Context) error {
-	_, err := c.users.setGates(ctx, c.inForce(), false)
-	return err
-}
-
 // waitingRecord tells operators what the leader waits for.
 type waitingRecord struct {
 	Term    uint64 `json:"term"`
--- /dev/null
+++ b/internal/coordination/upgrade_rollback_test.go
@@ -0,0 +1,185 @@
+package coordination
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"sagevale/internal/storage"
+	"sagevale/internal/storage/storagetest"
+	"sagevale/internal/upgrade"
+)
+
+// One controller goes back while a gang job is in use: it answers, but doesn't lead; the
+// gate is withdrawn once the gang is over, and then it leads.
+func TestRollbackOfOneController(t *testing.T) {
+	for _, leader := range []bool{false, true} {
+		t.Run(fmt.Sprintf("leader=%v", leader), func(t *testing.T) {
+			inSimulation(t, func(sim *simulation) {
+				sim.awaitActive(upgrade.Current, time.Minute)
+				sim.submit(service("000001", 3))
+				sim.submitGang("000002")
+				back := sim.nodes[2]
+				if lead := sim.awaitLeader(); leader == (lead != back) {
+					back = lead
+				}
+				if !leader && back == sim.awaitLeader() {
+					back = sim.nodes[0]
+				}
+				back.replace(upgrade.Version1)
+				if sim.awaitLeader() == back {
+					t.Error("it leads beside a gang job")
+				}
+				refused := arrayJob("000003", 3)
+				refused.Gang = true
+				sim.eventually("answers", 10*time.Second, func() bool {
+					a := sim.askNode(back, OpPoll, "000002", storage.Spec{})
+					return a.decided()
+				})
+				sim.eventually("withdrawing", 10*time.Second, func() bool { return sim.cluster().Phase == upgrade.Withdrawing })
+				if a := sim.askNode(back, OpSubmit, refused.ID, refused); a.decided() {
+					t.Errorf("a gang job is taken during the withdrawal: %+v", a)
+				}
+				sim.done("000002")
+				sim.awaitActive(upgrade.Version1, time.Minute)
+				for _, n := range sim.nodes {
+					if n != back {
+						n.kill()
+					}
+				}
+				if sim.awaitLeader() != back {
+					t.Error("it doesn't lead")
+				}
+				sim.runs("000001", 3)
+				sim.submit(arrayJob("000004", 4))
+				sim.done("000004")
+			})
+		})
+	}
+}
+
+// All controllers go back at once before anything depends on a gate: nothing is stuck, and
+// the fleet may be upgraded again.
+func TestRollbackOfAllBeforeAnyUse(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		sim.awaitActive(upgrade.Current, time.Minute)
+		sim.submit(service("000001", 3))
+		sim.allAt(upgrade.Version1)
+		sim.awaitLeader()
+		sim.awaitActive(upgrade.Version1, time.Minute)
+		if r := sim.cluster(); r.Phase != upgrade.Stable || r.Gate(upgrade.GangJobs).Phase != "" {
+			t.Errorf("%+v", r)
+		}
+		sim.runs("000001", 3)
+		sim.allAt(upgrade.Current)
+		sim.awaitActive(upgrade.Current, time.Minute)
+		sim.submitGang("000002")
+		sim.done("000002")
+	})
+}
+
+// Chunks are compressed under lowered limits; going back rewrites them, wherever the leader
+// ends meanwhile.
+func TestRollbackDuringMigration(t *testing.T) {
+	for kills := range 4 {
+		t.Run(fmt.Sprint(kills), func(t *testing.T) {
+			next := &storage.Limits{ChangesPerS: 30, ValueBytes: 3072, TxnOps: 6}
+			inSimulationWith(t, func(s *Settings) { s.State.Next = next }, func(sim *simulation) {
+				sim.awaitActive(upgrade.Current, time.Minute)
+				for i := range 12 {
+					sim.submit(arrayJob(fmt.Sprintf("%06d", i+1), 40))
+				}
+				sim.state.Trouble(func(s *storagetest.Service) { s.ValueBytes, s.TxnOps = next.ValueBytes, next.TxnOps })
+				sim.submit(arrayJob("000100", 60))
+				sim.eventually("compressed", time.Minute, func() bool {
+					return sim.cluster().Gate(upgrade.CompressedChunks).Used && sim.encodedChunks() > 0
+				})
+				back := sim.nodes[0]
+				if sim.awaitLeader() == back {
+					back = sim.nodes[1]
+				}
+				back.replace(upgrade.Version1)
+				for range kills {
+					time.Sleep(700 * time.Millisecond)
+					if lead := sim.leader(); lead != nil && lead != back {
+						lead.restart()
+					}
+					sim.awaitLeader()
+				}
+				sim.awaitActive(upgrade.Version1, 3*time.Minute)
+				if n := sim.encodedChunks(); n > 0 {
+					t.Errorf("%d encoded chunks are left", n)
+				}
+				for _, n := range sim.nodes {
+					if n != back {
+						n.kill()
+					}
+				}
+				sim.awaitLeader()
+				for i := range 12 {
+					sim.done(fmt.Sprintf("%06d", i+1))
+				}
+			})
+		})
+	}
+}
+
+// encodedChunks counts the stored chunks that the first versions can't read.
+func (sim *simulation) encodedChunks() int {
+	client := &storagetest.Client{Service: sim.state}
+	items, _, _, err := client.List(context.Background(), "log/", "", 1000)
+	if err != nil {
+		sim.t.Fatal(err)
+	}
+	n := 0
+	for _, it := range items {
+		if storage.IsEncoded(it.Data) {
+			n++
+		}
+	}
+	return n
+}
+
+// After finalization an older process ends and says what it needs; the others go on.
+func TestAFinalizedVersionRefusesOlderProcesses(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		for _, n := range sim.nodes {
+			n.upgrade = func(s *upgrade.Settings) { s.Policy.AutoFinalize, s.Policy.Soak = true, 10*time.Second }
+			n.restart()
+		}
+		sim.submit(service("000001", 3))
+		sim.eventually("finalized", time.Minute, func() bool { return sim.cluster().Minimum == upgrade.Current })
+		back := sim.awaitLeader()
+		back.replace(upgrade.Version2)
+		sim.eventually("refused", 20*time.Second, func() bool { return back.refused.Load() != nil })
+		if why := (*back.refused.Load()).Error(); !strings.Contains(why, "version 3 or later is needed") || strings.Contains(why, "\n") {
+			t.Errorf("it ends with %q", why)
+		}
+		sim.awaitLeader()
+		sim.submit(arrayJob("000002", 3))
+		sim.done("000002")
+		sim.runs("000001", 3)
+		if r := sim.cluster(); r.Active != upgrade.Current || r.Phase != upgrade.Finalized {
+			t.Errorf("%+v", r)
+		}
+	})
+}
+
+// The leader itself goes back just after the activation, before and after a gate's use.
+func TestRollbackOfTheLeaderJustAfterActivation(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		sim.allAt(upgrade.Version1)
+		sim.awaitLeader()
+		sim.allAt(upgrade.Current)
+		sim.eventually("version 2 active", time.Minute, func() bool { return sim.cluster().Active >= upgrade.Version2 })
+		lead := sim.awaitLeader()
+		lead.replace(upgrade.Version1)
+		sim.awaitActive(upgrade.Version1, time.Minute)
+		sim.submit(arrayJob("000001", 3))
+		sim.done("000001")
+		lead.replace(upgrade.Current)
+		sim.awaitActive(upgrade.Current, time.Minute)
+	})
+}
--- a/internal/loopbacktest/measure_test.go
+++ b/internal/loopbacktest/measure_test.go
@@ -140,7 +140,7 @@
 		}
 		measureUpgrade(b, seed, now)
 	}
-	b.Log(now.table("loopback, this version") + before.table("loopback, the version before"))
+	fmt.Println(now.table("loopback, this version") + before.table("loopback, the version before")) // b.Log cuts it short
 }
 
 func measureRestarts(t testing.TB, seed uint64, p Program, into *measurement) {
