--- a/internal/protocol/upgrade_properties_test.go
+++ b/internal/protocol/upgrade_properties_test.go
@@ -9,7 +9,14 @@
 )
 
 func TestUpgradeProperties(t *testing.T) {
-	good := upgrade.DefaultSettings()
+	defaults, err := ParseSettings("s.toml", []byte(goodSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := defaults.Tuning.Upgrade
+	if p := good.Policy; p.Soak != 30*defaults.Lease || p.ReleaseAfter != 30*defaults.Lease || p.AutoFinalize || p.Hold || p.Target != 0 {
+		t.Errorf("the default is %+v", p)
+	}
 	held, target, finalizing := good, good, good
 	held.Policy.Hold = true
 	target.Policy.Target = upgrade.Version2
@@ -36,7 +43,6 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		soak := s.Tuning.Upgrade.Policy.Soak
 		err = parseProperties("p", []byte(c.file), s)
 		if c.fails != "" {
 			if err == nil || !strings.HasPrefix(err.Error(), c.fails) || strings.Contains(err.Error(), "\n") {
@@ -44,9 +50,6 @@
 			}
 			continue
 		}
-		if c.want.Policy.Soak == 0 {
-			c.want.Policy.Soak = soak
-		}
 		got := s.Tuning.Upgrade
 		if err != nil || got.Policy != c.want.Policy || got.Versions != c.want.Versions || len(got.Known) != len(c.want.Known) {
 			t.Errorf("%q: %+v, %v", c.file, got, err)
