--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -201,6 +201,8 @@
 	if !l.registered() {
 		return clusterState{}, errUnregistered
 	}
+	ctx, cancel := context.WithTimeout(ctx, l.settings.callTime())
+	defer cancel()
 	cluster, err := readCluster(ctx, l.svc)
 	if err != nil {
 		return clusterState{}, err
@@ -216,13 +218,13 @@
 // contend tries to take the lead and, if it succeeds, leads until deposed.
 func (l *leadership) contend(ctx context.Context) error {
 	life := l.settings.Tuning.LeaderLease
-	cctx, cancel := context.WithTimeout(ctx, l.settings.callTime())
-	defer cancel()
-	cluster, err := l.eligible(cctx)
+	cluster, err := l.eligible(ctx)
 	if err != nil {
 		return err
 	}
 	sent := time.Now()
+	cctx, cancel := context.WithTimeout(ctx, l.settings.callTime())
+	defer cancel()
 	lease, err := l.svc.Grant(cctx, life)
 	if err != nil {
 		return fmt.Errorf("grant: %w", err)
--- a/internal/coordination/membership.go
+++ b/internal/coordination/membership.go
@@ -28,6 +28,8 @@
 	sessionLeases = 8
 	// sessionTouches is how often a session is renewed within its life.
 	sessionTouches = 3
+	// registrationCalls is how many calls a registration takes, one after the other.
+	registrationCalls = 4
 )
 
 // clusterState is the cluster record as it is stored; version 0: it isn't.
@@ -101,7 +103,7 @@
 // record is guarded: an activation that rests on the earlier registration and this one
 // can't both succeed unseen by each other.
 func (m *membership) register(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, m.settings.callTime())
+	ctx, cancel := context.WithTimeout(ctx, registrationCalls*m.settings.callTime())
 	defer cancel()
 	cluster, err := readCluster(ctx, m.svc)
 	if err != nil {
--- a/internal/coordination/upgrade_test.go
+++ b/internal/coordination/upgrade_test.go
@@ -345,3 +345,19 @@
 		}
 	})
 }
+
+// A state service that answers slowly keeps nobody from registering and leading that it did
+// not keep from leading before: reading the cluster record has a time of its own.
+func TestASlowStateServiceIsLedOn(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		sim.awaitActive(upgrade.Current, time.Minute)
+		sim.submit(service("000001", 2))
+		slow := scale(sim.settings.callTime(), 0.3) // three calls take less than callTime, four more
+		sim.state.Trouble(func(s *storagetest.Service) { s.Slow = slow })
+		for _, n := range sim.nodes {
+			n.restart()
+		}
+		sim.eventually("a leader", 20*time.Second, func() bool { return sim.leader() != nil })
+		sim.runs("000001", 2)
+	})
+}
