--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -36,6 +36,7 @@
 	role        Role
 	gates       upgrade.Record            // what is in force
 	requestGate func(upgrade.GateName)    // asks for a gate to be taken into use
+	gateWaiters []gateWaiter              // submissions that wait for it
 	resigned    bool                      // the lead has been given up
 	certainTill atomic.Pointer[time.Time] // role.Certain, for those who pass answers on
 	journal     *storage.Journal
@@ -286,7 +287,7 @@
 	case committedMsg:
 		d.handleCommitted(m.err)
 	case gatesMsg:
-		d.gates = m.record
+		d.setGates(m.record)
 		m.reply <- d.openGangs()
 	case catalogueMsg:
 		d.setTypes(m.types)
@@ -319,6 +320,7 @@
 	if d.stalled(now) || !d.certain(now) {
 		d.failWaiting(Unavailable("", "state service slow or out of reach"))
 	}
+	d.failGateWaiters(now)
 	d.updatePeerRenewals()
 	d.expire(now)
 	d.tendGangs(now)
--- a/internal/coordination/gates.go
+++ b/internal/coordination/gates.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"time"
 
 	"sagevale/internal/storage"
 	"sagevale/internal/upgrade"
@@ -18,6 +20,48 @@
 	return gate.Usable()
 }
 
+// gateWaiter is a submission whose acceptance hangs on the use of a gate being durable.
+type gateWaiter struct {
+	msg   userMsg
+	since time.Time
+}
+
+// awaitGate keeps a submission until the use of an open gate is durable, as it would wait
+// for a commit. Where the gate is closed its user is told at once to come back.
+func (d *dispatcher) awaitGate(m userMsg, name upgrade.GateName, now time.Time) {
+	if d.gates.Gate(name).Phase != upgrade.GateOpen {
+		m.reply <- Unavailable(m.req.ID, "not every controller is known to have gang jobs yet")
+		return
+	}
+	d.gateWaiters = append(d.gateWaiters, gateWaiter{m, now})
+}
+
+// setGates takes in what is in force, and goes on with what waited for it.
+func (d *dispatcher) setGates(record upgrade.Record) {
+	d.gates = record
+	waiting := d.gateWaiters
+	d.gateWaiters = nil
+	for _, w := range waiting {
+		kept := len(d.gateWaiters)
+		d.handleUser(w.msg)
+		if len(d.gateWaiters) > kept {
+			d.gateWaiters[kept].since = w.since // it waits on
+		}
+	}
+}
+
+// failGateWaiters tells those to come back who have waited for a gate for too long; all of
+// them if the lead isn't certain.
+func (d *dispatcher) failGateWaiters(now time.Time) {
+	d.gateWaiters = slices.DeleteFunc(d.gateWaiters, func(w gateWaiter) bool {
+		late := !d.certain(now) || now.Sub(w.since) > scale(d.settings.Report, stallPerReport)
+		if late {
+			w.msg.reply <- Unavailable(w.msg.req.ID, "state service slow or out of reach")
+		}
+		return late
+	})
+}
+
 // openGangs counts the gang jobs that aren't over, or still have tasks somewhere.
 func (d *dispatcher) openGangs() int {
 	gangs := 0
--- a/internal/coordination/gates_test.go
+++ b/internal/coordination/gates_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"sagevale/internal/storage"
+	"sagevale/internal/storage/storagetest"
 	"sagevale/internal/upgrade"
 )
 
@@ -26,3 +28,43 @@
 		}
 	}
 }
+
+// The first gang job waits until the use of its gate is durable, like any acceptance for its
+// commit; where that takes too long, or the gate is closed, its user is told to come back.
+func TestTheFirstGangJobWaitsForItsGate(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		sim.awaitActive(upgrade.Current, time.Minute)
+		gang := func(id string) storage.Spec {
+			g := arrayJob(id, 2)
+			g.Gang = true
+			sim.upload(g)
+			return g
+		}
+		lead := sim.awaitLeader()
+		began := time.Now()
+		if a := sim.askNode(lead, OpSubmit, "000001", gang("000001")); a.Code != CodeCreated {
+			t.Errorf("answered %+v", a)
+		}
+		if took := time.Since(began); took > 100*time.Millisecond {
+			t.Errorf("accepted after %v", took)
+		}
+		sim.done("000001")
+		sim.state.Trouble(func(s *storagetest.Service) { s.Drop = touchesCluster })
+		for _, n := range sim.nodes {
+			n.upgrade = func(s *upgrade.Settings) { s.Policy.ReleaseAfter = 5 * time.Second }
+			n.restart()
+		}
+		lead = sim.awaitLeader()
+		time.Sleep(20 * time.Second) // a release is unanswered, and so are uses
+		began = time.Now()
+		if a := sim.askNode(lead, OpSubmit, "000002", gang("000002")); a.Code != CodeUnavailable || a.RetryS == 0 {
+			t.Errorf("answered %+v", a)
+		}
+		if took := time.Since(began); took > sim.settings.Report {
+			t.Errorf("told to come back after %v", took)
+		}
+		sim.state.Trouble(func(s *storagetest.Service) { s.Drop = nil })
+		sim.submit(gang("000002"))
+		sim.done("000002")
+	})
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -107,7 +107,7 @@
 			return
 		}
 		if spec.Gang && !d.mayUse(upgrade.GangJobs) {
-			m.reply <- Unavailable(spec.ID, "not every controller is known to have gang jobs yet")
+			d.awaitGate(m, upgrade.GangJobs, now)
 			return
 		}
 		if d.openTasks+spec.Tasks > d.settings.maxTasks() {
