--- a/internal/coordination/upgrade_controller.go
+++ b/internal/coordination/upgrade_controller.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"slices"
+	"sync"
 	"time"
 
 	"sagevale/internal/storage"
@@ -55,9 +56,9 @@
 
 // run moves the record until the term ends.
 func (c *upgradeController) run(ctx context.Context) error {
-	go c.watchRegistrations(ctx)
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(c.firstLook())
 	defer timer.Stop()
+	watch := sync.OnceFunc(func() { go c.watchRegistrations(ctx) })
 	for {
 		var err error
 		select {
@@ -69,6 +70,7 @@
 			c.outdated = true
 			err = c.advance(ctx)
 		case <-timer.C:
+			watch()
 			err = c.advance(ctx)
 		}
 		if err != nil {
@@ -78,6 +80,15 @@
 	}
 }
 
+// firstLook is when a term first looks at an upgrade: where all is in force that this
+// version has, not in the moments in which a take-over needs the processor.
+func (c *upgradeController) firstLook() time.Duration {
+	if c.cluster.record.Active < c.settings.Tuning.Upgrade.Versions.Max || c.cluster.record.Phase == upgrade.Withdrawing {
+		return 0
+	}
+	return c.settings.Report
+}
+
 // pause is how long nothing needs to be looked at.
 func (c *upgradeController) pause() time.Duration {
 	if c.outdated || c.cluster.record.Phase == upgrade.Withdrawing {
