--- a/internal/transport/freeze_test.go
+++ b/internal/transport/freeze_test.go
@@ -37,9 +37,20 @@
 		peerAsk{Serial: 2, Req: coordination.UserRequest{Op: coordination.OpSubmit, ID: "000007", Spec: spec}},
 		peerAsk{Serial: 3, Reports: []*coordination.Report{{Machine: 7, Addr: "10.0.0.7:9000", Type: "cpu", Zone: "a", Spot: true, Session: 3, Seq: 9, Token: 4, Notice: &notice,
 			Tasks: []coordination.TaskReport{{ID: coordination.TaskID{Job: "000001", Task: 1}, Try: 5, State: coordination.Ended, Cause: coordination.CausePeers, Saved: true}}}}})
-	write("answers.gob",
+	write("answers.gob", answersTelling(toldBy769a0b2)...)
+	write("answers-registering.gob", answersTelling(coordination.PeerVersion)...)
+}
+
+// toldBy769a0b2 is what that version tells as its own; this one tells another number, in the
+// same message.
+const toldBy769a0b2 = 2
+
+// answersTelling are a node's answers to each kind of message.
+func answersTelling(version int) []any {
+	return []any{
 		peerAnswer{Serial: 1, Answer: coordination.Answer{Peer: coordination.PeerState{Up: time.Minute, SinceState: time.Second, Leader: "n2", Term: 4,
-			Hears: time.Second, Alone: time.Hour, Lends: 20 * time.Second, LendTerm: 4, Barred: []int{7, 8}, Version: coordination.PeerVersion}}},
+			Hears: time.Second, Alone: time.Hour, Lends: 20 * time.Second, LendTerm: 4, Barred: []int{7, 8}, Version: version}}},
 		peerAnswer{Serial: 2, Answer: coordination.Answer{Code: coordination.CodeOK, ID: "000007", State: coordination.StateRunning, Done: 1, Running: 2, Holds: time.Second}},
-		peerAnswer{Serial: 3, Beats: []coordination.BeatAnswer{{Accepted: true, Token: 4, Orders: []coordination.Order{{Verb: coordination.Stop, ID: coordination.TaskID{Job: "000001", Task: 1}, Try: 5, GraceS: 2.5}}}}})
+		peerAnswer{Serial: 3, Beats: []coordination.BeatAnswer{{Accepted: true, Token: 4, Orders: []coordination.Order{{Verb: coordination.Stop, ID: coordination.TaskID{Job: "000001", Task: 1}, Try: 5, GraceS: 2.5}}}}},
+	}
 }
