--- a/internal/coordination/upgrade_races_test.go
+++ b/internal/coordination/upgrade_races_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,11 +30,10 @@
 
 // onceBefore has f run before the first transaction that sets a key to such a value.
 func (sim *simulation) onceBefore(key, value string, f func()) {
-	done := false
+	var done atomic.Bool
 	sim.state.Trouble(func(s *storagetest.Service) {
 		s.Before = func(tx storagetest.Txn) {
-			if !done && slices.ContainsFunc(tx.Ops, func(o storage.Op) bool { return o.Key == key && strings.Contains(string(o.Data), value) }) {
-				done = true
+			if slices.ContainsFunc(tx.Ops, func(o storage.Op) bool { return o.Key == key && strings.Contains(string(o.Data), value) }) && done.CompareAndSwap(false, true) {
 				f()
 			}
 		}
@@ -174,13 +174,12 @@
 		time.Sleep(10 * time.Second) // the record moves no more, which would bar it too
 		node := sim.nodes[0]
 		node.kill()
-		late := false
+		var late atomic.Bool
 		sim.state.Trouble(func(s *storagetest.Service) {
 			s.Late = func(tx storagetest.Txn) time.Duration {
-				if late || !sets(tx, registrationPrefix+node.name) {
+				if !sets(tx, registrationPrefix+node.name) || !late.CompareAndSwap(false, true) {
 					return 0
 				}
-				late = true
 				return 15 * time.Second
 			}
 		})
@@ -218,11 +217,11 @@
 	inSimulation(t, func(sim *simulation) {
 		sim.allAt(upgrade.Version1)
 		sim.awaitLeader()
-		lost := 0
+		var lost atomic.Int32
 		sim.state.Trouble(func(s *storagetest.Service) {
 			s.Lose = func(tx storagetest.Txn) bool {
 				if touchesCluster(tx) {
-					lost++
+					lost.Add(1)
 					return true
 				}
 				return false
@@ -232,8 +231,8 @@
 		sim.awaitActive(upgrade.Current, time.Minute)
 		sim.submitGang("000001")
 		sim.done("000001")
-		if lost < 3 {
-			t.Errorf("only %d answers were lost", lost)
+		if n := lost.Load(); n < 3 {
+			t.Errorf("only %d answers were lost", n)
 		}
 	})
 }
@@ -243,18 +242,17 @@
 	inSimulation(t, func(sim *simulation) {
 		sim.allAt(upgrade.Version1)
 		lead := sim.awaitLeader()
-		held := false
+		var held atomic.Bool
 		sim.state.Trouble(func(s *storagetest.Service) {
 			s.Late = func(tx storagetest.Txn) time.Duration {
-				if held || !touchesCluster(tx) {
+				if !touchesCluster(tx) || !held.CompareAndSwap(false, true) {
 					return 0
 				}
-				held = true
 				return 15 * time.Second
 			}
 		})
 		sim.allAt(upgrade.Current)
-		sim.eventually("a step is late", time.Minute, func() bool { return held })
+		sim.eventually("a step is late", time.Minute, held.Load)
 		for _, n := range sim.nodes {
 			n.kill()
 		}
--- a/internal/coordination/upgrade_release_test.go
+++ b/internal/coordination/upgrade_release_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,17 +65,16 @@
 	inReleasingSimulation(t, func(sim *simulation) {
 		sim.submitGang("000001")
 		sim.done("000001")
-		held := false
+		var held atomic.Bool
 		sim.state.Trouble(func(s *storagetest.Service) {
 			s.Late = func(tx storagetest.Txn) time.Duration {
-				if held || !isRelease(tx) {
+				if !isRelease(tx) || !held.CompareAndSwap(false, true) {
 					return 0
 				}
-				held = true
 				return 3 * time.Second
 			}
 		})
-		sim.eventually("a release is late", 2*time.Minute, func() bool { return held })
+		sim.eventually("a release is late", 2*time.Minute, held.Load)
 		time.Sleep(1500 * time.Millisecond) // uses are counted again meanwhile
 		g := arrayJob("000002", 3)
 		g.Gang, g.EstimateS = true, 60
--- a/internal/coordination/upgrade_test.go
+++ b/internal/coordination/upgrade_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -105,13 +106,12 @@
 	sim.allAt(upgrade.Version1)
 	sim.submit(service("000001", 2))
 	sim.awaitLeader()
-	seen := 0
+	var seen atomic.Int32
 	hit := func(tx storagetest.Txn) bool {
 		if !touchesCluster(tx) {
 			return false
 		}
-		seen++
-		if seen != step+1 {
+		if int(seen.Add(1)) != step+1 {
 			return false
 		}
 		if kill {
