--- a/internal/upgrade/transition_test.go
+++ b/internal/upgrade/transition_test.go
@@ -109,6 +109,11 @@
 	if w.legacyLeader != nil {
 		t.Error("a process that doesn't register leads below the finalized version")
 	}
+	w.takeLead("n0")
+	w.hear("n1")
+	if w.runSteps(t); w.record().Active != Version2 || !w.record().Gate(GangJobs).phaseOpen() {
+		t.Errorf("withdrawn for a process that is refused: %+v", w.record())
+	}
 }
 
 // Found by TestHistories: a node whose older registration still stood counted by what its
