--- /dev/null
+++ b/cmd/fleetload/fit.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"sagevale/internal/fleetload"
+)
+
+// newFitCommand makes the command that fits lines through results.
+func newFitCommand() *cobra.Command {
+	var x string
+	var only []string
+	cmd := &cobra.Command{
+		Use:   "fit --x FIGURE FILE...",
+		Short: "Fit every figure of several results against one of them",
+		Long:  "fit reads results of run --json that differ in one size, such as config.workers, and prints each\nfigure's slope, its value at 0, and the largest residual as a share of the largest value.",
+		Args:  cobra.MinimumNArgs(2),
+		RunE: func(cmd *cobra.Command, files []string) error {
+			var results []map[string]float64
+			for _, file := range files {
+				raw, err := os.ReadFile(file)
+				if err != nil {
+					return err
+				}
+				figures, err := fleetload.Figures(raw)
+				if err != nil {
+					return fmt.Errorf("%s: %w", file, err)
+				}
+				results = append(results, figures)
+			}
+			lines, err := fleetload.Slopes(results, x)
+			if err != nil {
+				return &fleetload.FlagError{Flag: "x", Reason: err.Error()}
+			}
+			return printLines(cmd, lines, results, only)
+		},
+	}
+	cmd.Flags().StringVar(&x, "x", "config.workers", "the figure that was varied")
+	cmd.Flags().StringSliceVar(&only, "only", nil, "print figures that contain one of these texts")
+	return cmd
+}
+
+func printLines(cmd *cobra.Command, lines map[string]fleetload.Line, results []map[string]float64, only []string) error {
+	w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "FIGURE\tSLOPE\tAT 0\tRESIDUAL\tMEASURED")
+	for _, name := range slices.Sorted(maps.Keys(lines)) {
+		if !wanted(name, only) {
+			continue
+		}
+		var measured []string
+		for _, r := range results {
+			measured = append(measured, fmt.Sprintf("%.4g", r[name]))
+		}
+		line := lines[name]
+		fmt.Fprintf(w, "%s\t%.4g\t%.4g\t%.0f%%\t%s\n", name, line.Slope, line.Intercept, 100*line.Residual, strings.Join(measured, " "))
+	}
+	return w.Flush()
+}
+
+func wanted(name string, only []string) bool {
+	return len(only) == 0 || slices.ContainsFunc(only, func(text string) bool { return strings.Contains(name, text) })
+}
--- /dev/null
+++ b/cmd/fleetload/main.go
@@ -0,0 +1,39 @@
+// Command fleetload tries and measures fleets of controllers on one machine: real controllers
+// over HTTP on the loopback, hollow workers, users, and faults.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+// errRulesBroken says that an experiment broke a rule; the result names it.
+var errRulesBroken = errors.New("a rule was broken")
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newCommand().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "fleetload:", err)
+		os.Exit(1) //nolint:gocritic // nothing is left to be stopped
+	}
+}
+
+func newCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:           "fleetload",
+		Short:         "Try and measure a fleet of controllers on this machine",
+		Long:          "fleetload starts real controllers, stand-ins of the state service and the cloud, hollow\nworkers and users, all on the loopback, and measures what each role spends.",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	cmd.AddCommand(newRunCommand(), newFitCommand(), newDemoCommand())
+	cmd.CompletionOptions.DisableDefaultCmd = true
+	return cmd
+}
--- a/internal/loopbacktest/cloud.go
+++ b/internal/loopbacktest/cloud.go
@@ -4,35 +4,62 @@
 	"encoding/json"
 	"net/http"
 	"sort"
+	"strconv"
 	"time"
 
 	"sagevale/internal/protocol"
 )
 
+// machineKind is the only type of machine.
+const machineKind = "cpu"
+
 // Cloud rents machines by the protocol.
 type Cloud struct {
 	Workers *Workers
+	cpus    float64
+	limit   int // 0: as many machines as are asked for
 	next    int
 	rentals map[string][]string
 }
 
 // NewCloud makes a cloud without machines.
-func NewCloud(w *Workers) *Cloud { return &Cloud{Workers: w, rentals: make(map[string][]string)} }
+func NewCloud(w *Workers, o *Options) *Cloud {
+	return &Cloud{Workers: w, cpus: o.MachineCPUs, limit: o.MachineLimit, rentals: make(map[string][]string)}
+}
+
+// Provide has machines run from the start, spread over the zones.
+func (c *Cloud) Provide(count int) {
+	c.Workers.mu.Lock()
+	defer c.Workers.mu.Unlock()
+	for i := range count {
+		m := c.create(machineKind, zones[i%len(zones)], false)
+		// They come up within a report interval, as if they had been up for long.
+		c.Workers.boot(m, time.Duration(i)*c.Workers.timing.Report/time.Duration(count))
+	}
+}
+
+// create makes a machine. The workers' lock is held.
+func (c *Cloud) create(kind, zone string, spot bool) *machine {
+	m := c.Workers.add(c.next, protocol.MachineName(c.next), kind, zone, spot)
+	c.next++
+	return m
+}
 
 // Handler serves the protocol.
 func (c *Cloud) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /catalog", c.catalogue)
-	mux.HandleFunc("POST /rentals", c.rent)
-	mux.HandleFunc("POST /rentals/delete", c.remove)
-	mux.HandleFunc("GET /rentals", c.list)
+	count := c.Workers.traffic.Counted
+	mux.HandleFunc("GET /catalog", count(CloudCalls, c.catalogue))
+	mux.HandleFunc("POST /rentals", count(CloudCalls, c.rent))
+	mux.HandleFunc("POST /rentals/delete", count(CloudCalls, c.remove))
+	mux.HandleFunc("GET /rentals", count(CloudCalls, c.list))
 	return mux
 }
 
 func (c *Cloud) catalogue(w http.ResponseWriter, _ *http.Request) {
 	reply(w, http.StatusOK, map[string]any{"Breeds": []map[string]any{{
-		"Sku": "cpu", "Cpus": 16.0, "Gpus": 0.0, "MemoryGb": 64.0, "LocalGb": 100.0, "PullGbPerS": 5.0, "Hourly": 1.0, "LowPrice": 0.3,
-		"BootS": c.Workers.timing.Boot.Seconds(), "Pastures": []string{"a", "b"},
+		"Sku": machineKind, "Cpus": c.cpus, "Gpus": 0.0, "MemoryGb": 4 * c.cpus, "LocalGb": 100.0, "PullGbPerS": 5.0, "Hourly": 1.0, "LowPrice": 0.3,
+		"BootS": c.Workers.timing.Boot.Seconds(), "Pastures": zones,
 	}}})
 }
 
@@ -45,20 +72,30 @@
 	c.Workers.mu.Lock()
 	defer c.Workers.mu.Unlock()
 	names, known := c.rentals[rental.Name]
-	for i := 0; !known && i < rental.Count; i++ {
-		m := &machine{
-			id: c.next, name: protocol.MachineName(c.next), kind: rental.Type, zone: rental.Zone, spot: rental.Spot, rented: time.Now(),
-			tasks: make(map[taskName]*task), changed: make(chan struct{}, 1), steward: c.next % len(c.Workers.nodes),
+	if !known {
+		names = c.createAll(rental)
+		if len(names) == 0 {
+			reply(w, http.StatusServiceUnavailable, map[string]string{"error": "no capacity"})
+			return
 		}
-		c.next++
-		c.Workers.machines[m.id] = m
-		c.Workers.boot(m)
-		names = append(names, m.name)
+		c.rentals[rental.Name] = names
 	}
-	c.rentals[rental.Name] = names
 	reply(w, http.StatusOK, protocol.MachineNames{Machines: names})
 }
 
+// createAll makes the machines of one rental, as far as the limit allows.
+func (c *Cloud) createAll(rental protocol.Rental) (names []string) {
+	for range rental.Count {
+		if c.limit > 0 && len(c.Workers.byAddr) >= c.limit {
+			break
+		}
+		m := c.create(rental.Type, rental.Zone, rental.Spot)
+		c.Workers.boot(m, c.Workers.timing.Boot)
+		names = append(names, m.name)
+	}
+	return names
+}
+
 func (c *Cloud) remove(w http.ResponseWriter, r *http.Request) {
 	var names protocol.MachineNames
 	if json.NewDecoder(r.Body).Decode(&names) != nil {
@@ -74,23 +111,34 @@
 	defer c.Workers.mu.Unlock()
 	for _, id := range ids {
 		if m := c.Workers.machines[id]; m != nil && !m.deleted {
-			m.deleted = true
-			if m.server != nil {
-				_ = m.server.Close()
-			}
+			c.Workers.remove(m)
 		}
 	}
 	reply(w, http.StatusOK, struct{}{})
 }
 
+// listed is a machine in the cloud's list.
+type listed struct {
+	ID       string `json:"Id"`
+	Addr     string
+	Breed    string
+	Pasture  string
+	Loaner   bool
+	Standing string
+	AgeS     float64
+}
+
 func (c *Cloud) list(w http.ResponseWriter, r *http.Request) {
-	after := -1
+	after, page := -1, 500
 	if from := r.URL.Query().Get("From"); from != "" {
 		after, _ = protocol.ParseMachine(from)
 	}
+	if n, err := strconv.Atoi(r.URL.Query().Get("Page")); err == nil && n > 0 && n < page {
+		page = n
+	}
 	c.Workers.mu.Lock()
 	defer c.Workers.mu.Unlock()
-	mounts := []map[string]any{}
+	mounts := []listed{}
 	for id, m := range c.Workers.machines {
 		if id <= after || m.deleted {
 			continue
@@ -99,8 +147,9 @@
 		if m.up {
 			standing = "running"
 		}
-		mounts = append(mounts, map[string]any{"Id": m.name, "Addr": m.addr, "Breed": m.kind, "Pasture": m.zone, "Loaner": m.spot, "Standing": standing, "AgeS": time.Since(m.rented).Seconds()})
+		mounts = append(mounts, listed{m.name, m.addr, m.kind, m.zone, m.spot, standing, time.Since(m.rented).Seconds()})
 	}
-	sort.Slice(mounts, func(a, b int) bool { return mounts[a]["Id"].(string) < mounts[b]["Id"].(string) })
-	reply(w, http.StatusOK, map[string]any{"Mounts": mounts, "More": false})
+	sort.Slice(mounts, func(a, b int) bool { return mounts[a].ID < mounts[b].ID })
+	more := len(mounts) > page
+	reply(w, http.StatusOK, map[string]any{"Mounts": mounts[:min(page, len(mounts))], "More": more})
 }
--- a/internal/loopbacktest/fleet.go
+++ b/internal/loopbacktest/fleet.go
@@ -13,8 +13,10 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"sagevale/internal/storage/storagetest"
 	"sagevale/internal/upgrade"
 )
 
@@ -37,28 +39,36 @@
 	log     *os.File
 }
 
-// Fleet is three controllers, what they speak to, and a client of theirs.
+// Fleet is a few controllers, what they speak to, and a client of theirs.
 type Fleet struct {
 	Controllers []*Controller
 	State       *StateService
 	Workers     *Workers
-	timing      Timing
+	Cloud       *Cloud
+	Traffic     *Traffic
+	options     Options
 	dir         string
 	servers     []*http.Server
 	client      *http.Client
 	stateAddr   string
 	cloudAddr   string
 	closed      bool
+	// nextController spreads users' requests, as a load balancer does.
+	nextController atomic.Int64
 }
 
-// leaseTiming is short enough for many steps, and long enough for a busy machine.
-var leaseTiming = Timing{Report: 400 * time.Millisecond, Lease: 5 * time.Second, Cancel: 12 * time.Second, Boot: 300 * time.Millisecond, Fetch: 50 * time.Millisecond}
+// NewFleet starts the stand-ins of a small fleet; the controllers are started by Start.
+func NewFleet(dir string) (*Fleet, error) { return NewFleetOf(dir, DefaultOptions()) }
 
-// NewFleet starts the stand-ins; the controllers are started by Start.
-func NewFleet(dir string) (*Fleet, error) {
-	f := &Fleet{timing: leaseTiming, dir: dir, State: NewStateService(), client: &http.Client{Timeout: 3 * time.Second}}
+// NewFleetOf starts the stand-ins of a fleet.
+func NewFleetOf(dir string, options Options) (*Fleet, error) {
+	traffic := NewTraffic()
+	f := &Fleet{options: options, dir: dir, Traffic: traffic, State: NewStateService(traffic), client: newUserClient()}
+	f.State.Store.Trouble(func(s *storagetest.Service) {
+		s.ValueBytes, s.TxnOps = int(options.ValueKB*1024), options.TxnOps
+	})
 	var names, addrs []string
-	for i := range 3 {
+	for i := range options.Controllers {
 		c := &Controller{Name: fmt.Sprintf("node-%d", i)}
 		var err error
 		if c.Users, err = freeAddr(); err != nil {
@@ -70,23 +80,51 @@
 		f.Controllers = append(f.Controllers, c)
 		names, addrs = append(names, c.Name), append(addrs, c.Users)
 	}
-	f.Workers = NewWorkers(f.timing, names, addrs)
 	var err error
+	if f.Workers, err = NewWorkers(options.Timing, options.Teams, names, addrs, traffic); err != nil {
+		return nil, err
+	}
+	f.Cloud = NewCloud(f.Workers, &options)
+	f.Cloud.Provide(options.Workers)
 	if f.stateAddr, err = f.serve(f.State.Handler()); err != nil {
 		return nil, err
 	}
-	f.cloudAddr, err = f.serve(NewCloud(f.Workers).Handler())
+	f.cloudAddr, err = f.serve(f.Cloud.Handler())
 	return f, err
 }
 
+// userConnections is how many idle connections of users are kept to one controller.
+const userConnections = 256
+
+func newUserClient() *http.Client {
+	return &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: userConnections}}
+}
+
+// The controllers' ports lie below those that the system gives to outgoing connections and to
+// listeners without a port, so that none is taken between the choice and the controller's start.
+const (
+	firstPort = 16_000
+	portCount = 16_000
+)
+
+// nextPort counts the ports that were chosen; processes begin at different ones.
+var nextPort = func() *atomic.Int64 {
+	var n atomic.Int64
+	n.Store(int64(os.Getpid()) * 101)
+	return &n
+}()
+
 // freeAddr finds a port on the loopback that nobody listens on.
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range portCount {
+		var l net.Listener
+		port := firstPort + int(nextPort.Add(1)%portCount)
+		if l, err = net.Listen("tcp4", fmt.Sprintf("0.0.0.0:%d", port)); err == nil {
+			return fmt.Sprintf("127.0.0.1:%d", port), l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 func (f *Fleet) serve(h http.Handler) (string, error) {
@@ -116,46 +154,6 @@
 	}
 }
 
-// settings is a controller's settings file.
-func (f *Fleet) settings(c *Controller) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "host_name = %q\nzone = \"a\"\nserve_on = %q\npeer_listen = %q\n", c.Name, c.Users, c.peers)
-	for _, o := range f.Controllers {
-		if o != c {
-			fmt.Fprintf(&b, "[[seeds]]\nhost_name = %q\nzone = \"a\"\naddr = %q\n", o.Name, o.peers)
-		}
-	}
-	fmt.Fprintf(&b, `[endpoints]
-cloud = %q
-state = %q
-[params]
-size = 3
-zones = ["a", "b"]
-clock_error_ms = 5.0
-[[params.teams]]
-name = "team"
-[params.workers]
-report_s = %g
-lease_s = %g
-gang_wait_s = 5.0
-gang_peer_s = 1.0
-cancel_s = %g
-[params.state]
-rps = 2000.0
-write_rps = 500.0
-value_kb = 8.0
-txn_ops = 32
-[params.cloud]
-rps = 50.0
-list_lag_s = 0.1
-[params.quota]
-cpu_share = 1.0
-ram_mb = 128.0
-sockets = 500
-`, f.cloudAddr, f.stateAddr, f.timing.Report.Seconds(), f.timing.Lease.Seconds(), f.timing.Cancel.Seconds())
-	return b.String()
-}
-
 // Start replaces a controller's process by one of the program.
 func (f *Fleet) Start(c *Controller, p Program) error {
 	c.Kill()
@@ -178,7 +176,7 @@
 	}
 	c.log = log
 	c.process = exec.Command(p.Binary, args...)
-	c.process.Env = append(os.Environ(), "LOG_LEVEL=info")
+	c.process.Env = append(os.Environ(), "LOG_LEVEL="+f.options.LogLevel)
 	c.process.Stderr = log
 	c.exited = make(chan struct{})
 	if err := c.process.Start(); err != nil {
@@ -257,6 +255,7 @@
 	}
 	defer response.Body.Close()
 	answer, err := io.ReadAll(response.Body)
+	f.Traffic.Add(userKind(method, path), int64(len(raw)), int64(len(answer)))
 	if err != nil {
 		return Standing{}, fmt.Errorf("%w: %w", errUndecided, err)
 	}
@@ -267,11 +266,23 @@
 	return s, json.Unmarshal(answer, &s)
 }
 
+// userKind tells what kind of message a user's request is.
+func userKind(method, path string) Kind {
+	switch {
+	case method == http.MethodGet:
+		return Polls
+	case strings.HasSuffix(path, "/cancel"):
+		return Cancels
+	}
+	return Submissions
+}
+
 // Insist puts a request to the controllers in turn until one decides it.
 func (f *Fleet) Insist(method, path string, body any, within time.Duration) (Standing, error) {
 	var s Standing
 	err := errUndecided
-	for end, i := time.Now().Add(within), 0; time.Now().Before(end); i++ {
+	first := int(f.nextController.Add(1))
+	for end, i := time.Now().Add(within), first; time.Now().Before(end); i++ {
 		if s, err = f.Ask(f.Controllers[i%len(f.Controllers)], method, path, body); !errors.Is(err, errUndecided) {
 			return s, err
 		}
@@ -280,29 +291,47 @@
 	return s, err
 }
 
-// Job is a job to be submitted.
-type Job struct {
-	ID    string
-	Shape string // sweep, service or group
-	Tasks int
-	Run   time.Duration
+// body is a job as it is submitted.
+func (j Job) body() map[string]any {
+	urgency := "normal"
+	if j.Urgent {
+		urgency = "prod"
+	}
+	return map[string]any{
+		"Id": j.ID, "Bracket": j.Shape, "Owner": j.Team, "Shape": j.Shape, "Urgency": urgency, "Chores": j.Tasks,
+		"Cpus": j.CPUs, "Gpus": 0.0, "MemoryGb": 2 * j.CPUs, "Kit": "img", "ImageGb": 0.1, "SamePlace": false, "Scatter": false, "Loaner": false,
+		"ExpectedS": j.Run.Seconds(), "BookmarkS": 0.0, "StowS": 0.0,
+	}
 }
 
 // Submit submits a job until it is accepted.
 func (f *Fleet) Submit(j Job, within time.Duration) error {
-	f.Workers.Upload(j.ID, job{tasks: j.Tasks, service: j.Shape == "service", gang: j.Shape == "group", run: j.Run})
-	body := map[string]any{
-		"Id": j.ID, "Bracket": j.Shape, "Owner": "team", "Shape": j.Shape, "Urgency": "normal", "Chores": j.Tasks,
-		"Cpus": 1.0, "Gpus": 0.0, "MemoryGb": 2.0, "Kit": "img", "ImageGb": 0.1, "SamePlace": false, "Scatter": false, "Loaner": false,
-		"ExpectedS": j.Run.Seconds(), "BookmarkS": 0.0, "StowS": 0.0,
+	if j.Team == "" {
+		j.Team = f.options.Teams[0].Name
+	}
+	if j.CPUs == 0 {
+		j.CPUs = 1
 	}
-	s, err := f.Insist(http.MethodPost, "/v1/jobs", body, within)
+	f.Workers.Upload(j)
+	s, err := f.Insist(http.MethodPost, "/v1/jobs", j.body(), within)
 	if err == nil && s.Status != http.StatusCreated && s.Status != http.StatusOK {
 		err = fmt.Errorf("job %s is answered %d", j.ID, s.Status)
 	}
+	if err == nil {
+		f.Workers.Accepted(j.ID, time.Now())
+	}
 	return err
 }
 
+// Cancel cancels a job until that is decided.
+func (f *Fleet) Cancel(id string, within time.Duration) (Standing, error) {
+	s, err := f.Insist(http.MethodPost, "/v1/jobs/"+id+"/cancel", nil, within)
+	if err == nil && s.Standing == "aborted" {
+		f.Workers.Cancelled(id, time.Now())
+	}
+	return s, err
+}
+
 // Poll asks for a job's state.
 func (f *Fleet) Poll(id string) (Standing, error) {
 	return f.Insist(http.MethodGet, "/v1/jobs/"+id, nil, 20*time.Second)
--- a/internal/loopbacktest/state.go
+++ b/internal/loopbacktest/state.go
@@ -22,23 +22,40 @@
 	Store    *storagetest.Service
 	Requests atomic.Int64
 	Bytes    atomic.Int64 // of request bodies
+	Changes  atomic.Int64 // puts and deletions that were carried out
+	traffic  *Traffic
 }
 
 // NewStateService makes an empty one.
-func NewStateService() *StateService { return &StateService{Store: storagetest.NewService()} }
+func NewStateService(traffic *Traffic) *StateService {
+	store := storagetest.NewService()
+	store.Trouble(func(s *storagetest.Service) { s.ForgetSent = true })
+	return &StateService{Store: store, traffic: traffic}
+}
 
 func (s *StateService) client() *storagetest.Client { return &storagetest.Client{Service: s.Store} }
 
+// Stored tells how much is stored.
+func (s *StateService) Stored() (kb float64, keys int) {
+	bytes := 0
+	s.Store.Each(func(it storage.Item) {
+		bytes += len(it.Key) + len(it.Data)
+		keys++
+	})
+	return float64(bytes) / 1024, keys
+}
+
 // Handler serves the protocol.
 func (s *StateService) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /store/{key...}", s.get)
-	mux.HandleFunc("GET /store", s.list)
-	mux.HandleFunc("POST /txn", s.transact)
-	mux.HandleFunc("POST /grants", s.grant)
-	mux.HandleFunc("POST /grants/{id}/touch", s.touch)
-	mux.HandleFunc("DELETE /grants/{id}", s.revoke)
-	mux.HandleFunc("GET /changes", s.changes)
+	count := s.traffic.Counted
+	mux.HandleFunc("GET /store/{key...}", count(StateGet, s.get))
+	mux.HandleFunc("GET /store", count(StateList, s.list))
+	mux.HandleFunc("POST /txn", count(StateTxn, s.transact))
+	mux.HandleFunc("POST /grants", count(StateLease, s.grant))
+	mux.HandleFunc("POST /grants/{id}/touch", count(StateLease, s.touch))
+	mux.HandleFunc("DELETE /grants/{id}", count(StateLease, s.revoke))
+	mux.HandleFunc("GET /changes", count(StateWatch, s.changes))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.Requests.Add(1)
 		if r.ContentLength > 0 {
@@ -65,6 +82,8 @@
 		return
 	case errors.Is(err, storage.ErrNotFound):
 		status = http.StatusNotFound
+	case errors.Is(err, storage.ErrCompacted):
+		status = http.StatusGone
 	case errors.Is(err, storage.ErrNoLease), errors.Is(err, storage.ErrMalformed):
 		status = http.StatusBadRequest
 	}
@@ -122,6 +141,7 @@
 		refuse(w, err)
 		return
 	}
+	s.Changes.Add(int64(len(ops)))
 	reply(w, http.StatusOK, protocol.TxnAnswer{Revision: revision})
 }
 
--- a/internal/loopbacktest/worker.go
+++ b/internal/loopbacktest/worker.go
@@ -3,43 +3,24 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// Timing is the workers' part of the settings.
+// Timing is the workers' part of the settings. Change is the least pause between two
+// reports that a change brings about.
 type Timing struct {
-	Report, Lease, Cancel, Boot, Fetch time.Duration
-}
-
-// taskName is a task and its attempt on a machine.
-type taskName struct {
-	task string
-	try  uint64
-}
-
-// job is what the workers fetch of a job by themselves.
-type job struct {
-	tasks   int
-	service bool
-	gang    bool
-	run     time.Duration
-}
-
-// task is an attempt on a machine.
-type task struct {
-	job     string
-	state   string // as reported
-	cause   string
-	since   time.Time
-	running bool // it has started and hasn't ended
+	Report, Change, Lease, Cancel, Boot, Fetch time.Duration
 }
 
-// machine is one rented machine with its worker.
+// machine is one rented machine with its hollow worker: it speaks the worker's protocol
+// and runs tasks on timers.
 type machine struct {
 	id                int
 	name, addr        string
@@ -47,116 +28,184 @@
 	spot              bool
 	rented            time.Time
 	up, deleted       bool
+	silent            bool // it reports nothing and takes no orders
 	session, seq      uint64
 	token             uint64
 	lastRenewed       time.Time
 	tasks             map[taskName]*task
 	changed           chan struct{}
-	server            *http.Server
 	steward           int // the node it reports to
 	tryNext, lastBeat time.Time
 }
 
-// Workers is all machines: one lock, for they share the log.
+// Workers is all machines, in one process: one lock, for they share the log.
 type Workers struct {
-	mu       sync.Mutex
-	timing   Timing
-	machines map[int]*machine
-	jobs     map[string]job
-	nodes    []string // the controllers' addresses
-	names    map[string]int
-	faults   []string
-	done     map[string]bool // tasks that have completed
-	starts   int
-	closed   chan struct{}
-	client   *http.Client
+	mu            sync.Mutex
+	timing        Timing
+	machines      map[int]*machine
+	byAddr        map[string]*machine
+	jobs          map[string]Job
+	nodes         []string // the controllers' addresses
+	names         map[string]int
+	ledger        *ledger
+	startedBefore map[string]bool
+	reportDelay   *hdrhistogram.Histogram // from report to answer, in microseconds
+	traffic       *Traffic
+	closed        chan struct{}
+	client        *http.Client
+	listener      net.Listener
+	server        *http.Server
+	port          string
 }
 
+// connectionsPerNode is how many idle connections to one controller are kept: a worker keeps its own.
+const connectionsPerNode = 20_000
+
 // NewWorkers makes the machines' side for controllers of these names and addresses.
-func NewWorkers(timing Timing, names, addrs []string) *Workers {
+func NewWorkers(timing Timing, teams []Team, names, addrs []string, traffic *Traffic) (*Workers, error) {
 	w := &Workers{
-		timing: timing, machines: make(map[int]*machine), jobs: make(map[string]job), nodes: addrs, names: make(map[string]int),
-		done: make(map[string]bool), closed: make(chan struct{}), client: &http.Client{Timeout: timing.Lease},
+		timing: timing, machines: make(map[int]*machine), byAddr: make(map[string]*machine), jobs: make(map[string]Job),
+		nodes: addrs, names: make(map[string]int), ledger: newLedger(teams), startedBefore: make(map[string]bool),
+		reportDelay: hdrhistogram.New(1, slowest, 3), traffic: traffic, closed: make(chan struct{}),
+		client: &http.Client{Timeout: reportTimeout, Transport: &http.Transport{MaxIdleConns: 0, MaxIdleConnsPerHost: connectionsPerNode}},
 	}
 	for i, name := range names {
 		w.names[name] = i
 	}
-	return w
+	return w, w.listen()
+}
+
+// reportTimeout is how long a worker waits for the answer to a report, by the protocol.
+const reportTimeout = 4 * time.Second
+
+// listen serves all machines' own addresses, which differ within the loopback range, by one
+// listener. Requests from anywhere else are refused.
+func (w *Workers) listen() error {
+	listener, err := net.Listen("tcp4", "0.0.0.0:0")
+	if err != nil {
+		return err
+	}
+	if _, w.port, err = net.SplitHostPort(listener.Addr().String()); err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /orders", w.traffic.Counted(DirectOrders, w.onMachine(w.orders)))
+	mux.HandleFunc("GET /show", w.onMachine(func(m *machine, rw http.ResponseWriter, _ *http.Request) {
+		reply(rw, http.StatusOK, w.show(m))
+	}))
+	w.listener, w.server = listener, &http.Server{Handler: mux}
+	go func() { _ = w.server.Serve(listener) }()
+	go w.watchCancelled()
+	return nil
+}
+
+// onMachine hands a request to the machine whose address it was sent to.
+func (w *Workers) onMachine(serve func(*machine, http.ResponseWriter, *http.Request)) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		local, ok := r.Context().Value(http.LocalAddrContextKey).(*net.TCPAddr)
+		if !ok || !local.IP.IsLoopback() {
+			reply(rw, http.StatusForbidden, nil)
+			return
+		}
+		w.mu.Lock()
+		m := w.byAddr[local.String()]
+		gone := m == nil || m.deleted || m.silent
+		w.mu.Unlock()
+		if gone {
+			panic(http.ErrAbortHandler) // nobody answers there
+		}
+		serve(m, rw, r)
+	}
 }
 
 // Close ends all workers.
 func (w *Workers) Close() {
 	close(w.closed)
+	_ = w.server.Close()
+	w.client.CloseIdleConnections()
+}
+
+// Upload makes a job known to the workers, as its user does.
+func (w *Workers) Upload(j Job) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, m := range w.machines {
-		if m.server != nil {
-			_ = m.server.Close()
-		}
-	}
+	w.jobs[j.ID] = j
 }
 
-// Upload makes a job known to the workers, as its user does.
-func (w *Workers) Upload(id string, j job) {
+// Accepted notes when a job's user was told that it is accepted.
+func (w *Workers) Accepted(id string, at time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	j := w.jobs[id]
+	j.accepted = at
 	w.jobs[id] = j
 }
 
-// Faults lists what the workers' log shows to be wrong.
-func (w *Workers) Faults() []string {
+// Cancelled notes when a job's user was told that it is cancelled.
+func (w *Workers) Cancelled(id string, at time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return append([]string(nil), w.faults...)
+	w.ledger.cancelled[id] = at
 }
 
-// Running counts where each task of a job runs now.
-func (w *Workers) Running(id string) map[string]int {
+// Faults lists what the workers' log shows to be wrong.
+func (w *Workers) Faults() []Fault {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	running := make(map[string]int)
-	for _, m := range w.machines {
-		for name, t := range m.tasks {
-			if t.running && t.job == id && !m.deleted {
-				running[name.task]++
-			}
+	return append([]Fault(nil), w.ledger.faults...)
+}
+
+// watchCancelled checks cancelled jobs until the workers end.
+func (w *Workers) watchCancelled() {
+	tick := time.NewTicker(w.timing.Cancel / 20)
+	defer tick.Stop()
+	for {
+		select {
+		case <-w.closed:
+			return
+		case now := <-tick.C:
+			w.mu.Lock()
+			w.ledger.checkCancelled(w.timing, now)
+			w.mu.Unlock()
 		}
 	}
-	return running
 }
 
-// Done tells whether all tasks of a job have completed somewhere; of a gang, one is enough.
-func (w *Workers) Done(id string) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	completed := 0
-	for i := range w.jobs[id].tasks {
-		if w.done[fmt.Sprintf("%s/%d", id, i)] {
-			completed++
-		}
+// add makes a machine that isn't up yet. The lock is held.
+func (w *Workers) add(id int, name, kind, zone string, spot bool) *machine {
+	m := &machine{
+		id: id, name: name, kind: kind, zone: zone, spot: spot, rented: time.Now(),
+		addr:  net.JoinHostPort(net.IPv4(127, byte(1+id>>16), byte(id>>8), byte(id)).String(), w.port),
+		tasks: make(map[taskName]*task), changed: make(chan struct{}, 1), steward: id % len(w.nodes),
 	}
-	return completed == w.jobs[id].tasks || w.jobs[id].gang && completed > 0
+	w.machines[id], w.byAddr[m.addr] = m, m
+	return m
 }
 
-// boot brings a rented machine up after its time.
-func (w *Workers) boot(m *machine) {
-	time.AfterFunc(w.timing.Boot, func() {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+// boot brings a machine up after a time.
+func (w *Workers) boot(m *machine, after time.Duration) {
+	time.AfterFunc(after, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if err != nil || m.deleted {
+		if m.deleted {
 			return
 		}
-		m.addr, m.up, m.session, m.lastRenewed = listener.Addr().String(), true, 1, time.Now()
-		mux := http.NewServeMux()
-		mux.HandleFunc("POST /orders", func(rw http.ResponseWriter, r *http.Request) { w.orders(m, rw, r) })
-		mux.HandleFunc("GET /show", func(rw http.ResponseWriter, _ *http.Request) { reply(rw, http.StatusOK, w.show(m)) })
-		m.server = &http.Server{Handler: mux}
-		go func() { _ = m.server.Serve(listener) }()
+		m.up, m.session, m.lastRenewed = true, 1, time.Now()
 		go w.run(m)
 	})
 }
 
+// remove ends a machine with all that is on it. The lock is held.
+func (w *Workers) remove(m *machine) {
+	m.deleted = true
+	for _, t := range m.tasks {
+		t.running = false
+		w.ledger.forget(t)
+	}
+	delete(w.byAddr, m.addr)
+	m.notify()
+}
+
 func (w *Workers) show(m *machine) report {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -204,40 +253,65 @@
 
 // run reports until the machine is gone.
 func (w *Workers) run(m *machine) {
-	tick := time.NewTicker(w.timing.Report / 10)
-	defer tick.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	pendingChange := false
 	for {
-		changed := false
 		select {
 		case <-w.closed:
 			return
 		case <-m.changed:
-			changed = true
-		case <-tick.C:
+			pendingChange = true
+		case <-timer.C:
 		}
 		w.mu.Lock()
 		now := time.Now()
-		changed = w.settle(m, now) || changed
-		due := now.Sub(m.lastBeat) >= w.timing.Report || changed && now.Sub(m.lastBeat) >= w.timing.Report/4
-		if changed && !due {
-			m.notify()
-		}
-		gone := m.deleted
-		due = due && now.After(m.tryNext)
+		pendingChange = w.settle(m, now) || pendingChange
+		at := m.nextReport(w.timing, pendingChange)
+		due := !m.silent && !now.Before(at)
 		var r report
 		if due {
 			m.lastBeat = now
 			r = m.report()
 		}
-		steward := m.steward
+		steward, gone := m.steward, m.deleted
+		wake := w.wake(m, at, due, now)
 		w.mu.Unlock()
 		if gone {
 			return
 		}
 		if due {
+			pendingChange = false
 			w.beat(m, r, steward)
 		}
+		timer.Reset(wake)
+	}
+}
+
+// nextReport is when a machine reports next.
+func (m *machine) nextReport(timing Timing, changed bool) time.Time {
+	at := m.lastBeat.Add(timing.Report)
+	if changed {
+		at = m.lastBeat.Add(timing.Change)
+	}
+	if at.Before(m.tryNext) {
+		at = m.tryNext
+	}
+	return at
+}
+
+// wake is how long a machine has nothing to do by itself.
+func (w *Workers) wake(m *machine, report time.Time, reports bool, now time.Time) time.Duration {
+	if reports {
+		return 0 // look again once the answer has come
+	}
+	if m.silent {
+		report = now.Add(w.timing.Report)
 	}
+	if next := w.nextChange(m); !next.IsZero() && next.Before(report) {
+		report = next
+	}
+	return max(report.Sub(now), time.Millisecond)
 }
 
 func (m *machine) notify() {
@@ -250,23 +324,14 @@
 // beat sends one report and carries out its answer.
 func (w *Workers) beat(m *machine, r report, steward int) {
 	sent := time.Now()
-	body, err := json.Marshal(r)
-	if err != nil {
-		return
-	}
-	response, err := w.client.Post("http://"+w.nodes[steward]+"/agent/beat", "application/json", bytes.NewReader(body))
-	var a answer
-	status := 0
-	if err == nil {
-		status = response.StatusCode
-		err = json.NewDecoder(response.Body).Decode(&a)
-		response.Body.Close()
-	}
+	a, status, err := w.send(r, steward)
+	took := time.Since(sent)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch next, named := w.names[a.Steward]; {
 	case status == http.StatusOK && err == nil:
-		if r.Ride == m.session && a.Baton >= m.token && !m.deleted && time.Since(sent) < 4*time.Second {
+		_ = w.reportDelay.RecordValue(min(max(took.Microseconds(), 1), slowest))
+		if r.Ride == m.session && a.Baton >= m.token && !m.deleted && took < reportTimeout {
 			m.token, m.lastRenewed = a.Baton, sent
 			w.carryOut(m, a.Orders)
 		}
@@ -275,10 +340,29 @@
 		m.tryNext = time.Now()
 	default:
 		m.steward = (steward + 1) % len(w.nodes)
-		m.tryNext = time.Now().Add(w.timing.Report / 3)
+		m.tryNext = time.Now().Add(min(w.timing.Report/3, time.Second))
 	}
 }
 
+// send posts one report.
+func (w *Workers) send(r report, steward int) (a answer, status int, err error) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return a, 0, err
+	}
+	response, err := w.client.Post("http://"+w.nodes[steward]+"/agent/beat", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return a, 0, err
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	if err == nil {
+		err = json.Unmarshal(raw, &a)
+	}
+	w.traffic.Add(Reports, int64(len(body)), int64(len(raw)))
+	return a, response.StatusCode, err
+}
+
 // orders takes direct commands.
 func (w *Workers) orders(m *machine, rw http.ResponseWriter, r *http.Request) {
 	var a answer
@@ -300,17 +384,95 @@
 
 // carryOut executes commands in order.
 func (w *Workers) carryOut(m *machine, orders []order) {
+	now := time.Now()
+	changed := false
 	for _, o := range orders {
 		name := taskName{o.Chore, o.Try}
 		t := m.tasks[name]
 		switch {
 		case o.Verb == "run" && t == nil:
-			w.begin(m, name)
+			w.begin(m, name, now)
+			changed = true
 		case o.Verb == "stop" && t != nil && t.state != "ended":
 			w.end(t, "stopped")
+			changed = true
 		case o.Verb == "forget" && t != nil && t.state == "ended":
 			delete(m.tasks, name)
+			w.ledger.forget(t)
+			changed = true
 		}
 	}
-	m.notify()
+	if changed {
+		m.notify()
+	}
+}
+
+// Silence has a share of the machines report nothing and answer no orders, or ends that. Which ones they are
+// follows from their numbers alone.
+func (w *Workers) Silence(share float64, on bool) (affected int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, m := range w.machines {
+		if chosen(id, share) && !m.deleted {
+			m.silent = on
+			affected++
+		}
+	}
+	return affected
+}
+
+// chosen picks a share of the numbers, evenly.
+func chosen(id int, share float64) bool {
+	return int(float64(id+1)*share) > int(float64(id)*share)
+}
+
+// LoseZone ends all machines of a zone with what is on them; the cloud no longer lists them.
+func (w *Workers) LoseZone(zone string) (lost int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range w.machines {
+		if m.zone == zone && !m.deleted {
+			w.remove(m)
+			lost++
+		}
+	}
+	return lost
+}
+
+// Counts tells how much is on the machines.
+type Counts struct {
+	Machines, Present, Starts, Faults int
+}
+
+// Counts counts machines, tasks on them now, starts ever and broken rules.
+func (w *Workers) Counts() Counts {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return Counts{Machines: len(w.byAddr), Present: len(w.ledger.present), Starts: w.ledger.starts, Faults: w.ledger.faultCount}
+}
+
+// ReportDelays are the times from a report to its answer, in microseconds.
+func (w *Workers) ReportDelays() *hdrhistogram.Histogram {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return hdrhistogram.Import(w.reportDelay.Export())
+}
+
+// StartDelays are the times from acceptance to start by class, in microseconds.
+func (w *Workers) StartDelays() map[Class]*hdrhistogram.Histogram {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make(map[Class]*hdrhistogram.Histogram)
+	for class, h := range w.ledger.startDelay {
+		out[class] = hdrhistogram.Import(h.Export())
+	}
+	return out
+}
+
+// ResetDelays forgets the latencies so far.
+func (w *Workers) ResetDelays() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reportDelay.Reset()
+	clear(w.ledger.startDelay)
 }
--- a/internal/storage/encoding.go
+++ b/internal/storage/encoding.go
@@ -140,3 +140,6 @@
 	records, err := parseRecords(plain)
 	return err != nil || isEncoded(value, records)
 }
+
+// EncodeChunk makes a plain chunk's value of its records.
+func EncodeChunk(records []Record) (json.RawMessage, error) { return json.Marshal(records) }
--- a/internal/storage/journal_write.go
+++ b/internal/storage/journal_write.go
@@ -102,7 +102,7 @@
 	if j.last == 0 {
 		// The very first chunk has none before it, so its transaction may be
 		// applied again once it is compacted away: it must be empty.
-		version, err := j.settle(ctx, []Guard{j.lead, {Key: chunkKey(j.next)}}, []Op{{Key: chunkKey(j.next), Data: json.RawMessage("[]")}})
+		version, err := j.settle(ctx, []Guard{j.lead, {Key: ChunkKey(j.next)}}, []Op{{Key: ChunkKey(j.next), Data: json.RawMessage("[]")}})
 		if err != nil {
 			return err
 		}
@@ -115,13 +115,13 @@
 			return err
 		}
 	}
-	guards := []Guard{j.lead, {Key: chunkKey(j.next)}, {Key: chunkKey(j.next - 1), Version: j.last}}
+	guards := []Guard{j.lead, {Key: ChunkKey(j.next)}, {Key: ChunkKey(j.next - 1), Version: j.last}}
 	var ops []Op
 	for i, c := range chunks {
-		ops = append(ops, Op{Key: chunkKey(j.next + uint64(i)), Data: c.data})
+		ops = append(ops, Op{Key: ChunkKey(j.next + uint64(i)), Data: c.data})
 	}
 	for _, c := range j.chunks[:compacted] {
-		ops = append(ops, Op{Key: chunkKey(c.seq), Delete: true})
+		ops = append(ops, Op{Key: ChunkKey(c.seq), Delete: true})
 	}
 	version, err := j.settle(ctx, guards, ops)
 	if err != nil {
@@ -223,4 +223,5 @@
 	}
 }
 
-func chunkKey(seq uint64) string { return fmt.Sprintf("%s%012d", chunkPrefix, seq) }
+// ChunkKey is the key of a journal chunk.
+func ChunkKey(seq uint64) string { return fmt.Sprintf("%s%012d", chunkPrefix, seq) }
--- a/internal/storage/storagetest/service.go
+++ b/internal/storage/storagetest/service.go
@@ -21,6 +21,9 @@
 	Ops    []storage.Op
 }
 
+// changesKept is how many changes watches may go back, by the protocol.
+const changesKept = 10_000
+
 // Service is the store itself.
 type Service struct {
 	mu      sync.Mutex
@@ -28,12 +31,15 @@
 	items   map[string]storage.Item
 	leases  map[uint64]time.Time
 	lives   map[uint64]time.Duration
-	changes []storage.Item
+	changes []storage.Item // the latest
+	dropped uint64         // the revision of the latest change that is no longer kept
 	changed chan struct{}
 	closed  bool
 	out     time.Time // when the outage began; zero: none
 
 	Sent []Txn // every transaction that arrived
+	// ForgetSent keeps none of them: a long run's would fill the memory.
+	ForgetSent bool
 	// LoseAnswers makes so many transactions be executed without an answer.
 	LoseAnswers int
 	// Delay, if set, tells for each transaction after how long it is carried out;
@@ -84,6 +90,8 @@
 // meanwhile; to be called within Trouble.
 func (s *Service) Restore(items []storage.Item) {
 	s.items = make(map[string]storage.Item)
+	items = append([]storage.Item(nil), items...)
+	sort.SliceStable(items, func(a, b int) bool { return items[a].Version < items[b].Version })
 	for _, it := range items {
 		if it.Lease != 0 {
 			continue
@@ -116,6 +124,15 @@
 	return out
 }
 
+// Each calls f for every key, in no order.
+func (s *Service) Each(f func(storage.Item)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, it := range s.items {
+		f(it)
+	}
+}
+
 func (s *Service) expire() {
 	if !s.out.IsZero() {
 		return
@@ -140,6 +157,10 @@
 
 func (s *Service) note(it storage.Item) {
 	s.changes = append(s.changes, it)
+	if len(s.changes) >= 2*changesKept {
+		s.dropped = s.changes[len(s.changes)-changesKept-1].Version
+		s.changes = append([]storage.Item(nil), s.changes[len(s.changes)-changesKept:]...)
+	}
 	if !s.closed {
 		close(s.changed)
 		s.changed = make(chan struct{})
@@ -265,7 +286,9 @@
 		return 0, fmt.Errorf("%w: transaction of %d changes, %d bytes", storage.ErrMalformed, len(ops), total)
 	}
 	c.mu.Lock()
-	c.Sent = append(c.Sent, Txn{guards, ops})
+	if !c.ForgetSent {
+		c.Sent = append(c.Sent, Txn{guards, ops})
+	}
 	drop := c.Drop != nil && c.Drop(Txn{guards, ops})
 	lose := c.LoseAnswers > 0
 	if lose {
@@ -359,9 +382,14 @@
 	end := time.After(hold)
 	for {
 		c.mu.Lock()
+		if after < c.dropped {
+			c.mu.Unlock()
+			return nil, 0, storage.ErrCompacted
+		}
 		var out []storage.Item
-		for _, it := range c.changes {
-			if it.Version > after && strings.HasPrefix(it.Key, prefix) {
+		first := sort.Search(len(c.changes), func(i int) bool { return c.changes[i].Version > after })
+		for _, it := range c.changes[first:] {
+			if strings.HasPrefix(it.Key, prefix) {
 				out = append(out, it)
 			}
 		}
