Archive of finished jobs: pages by rank, behind a gate of version 4, off by default

Change: internal/archive holds final states in compressed pages, one key of the state service for each range of ids, the key naming the range's end, so a page is found by one ordered read without a directory. A final state is told by any node that holds the page; that a job isn't archived is known only to a leader that has read the page in its term. Gate job-archive (version 4) depends on the fence; withdrawal brings pages back in steps or says why not. The jobs' table is a type of its own. archive.enabled and its neighbours are checked properties; sagevale archive status reads where it stands.

Tests that named version 3 as the newest now name upgrade.Current: they encoded the constant.

--- a/cmd/fleetload/run.go
+++ b/cmd/fleetload/run.go
@@ -44,6 +44,7 @@
 	flags.IntVar(&config.Controllers, "controllers", config.Controllers, "controllers")
 	flags.IntVar(&config.Workers, "workers", config.Workers, "hollow workers of 16 processors each")
 	flags.IntVar(&config.Running, "running", config.Running, "standing tasks")
+	flags.IntVar(&config.PerStanding, "per-standing", config.PerStanding, "standing tasks of one job")
 	flags.Float64Var(&config.StartsPerS, "starts", config.StartsPerS, "starts of short tasks a second")
 	flags.IntVar(&config.TasksPerJob, "tasks", config.TasksPerJob, "tasks of a short job")
 	flags.DurationVar(&config.TaskTime, "task-time", config.TaskTime, "how long a short task runs")
--- a/cmd/sagevale/serve.go
+++ b/cmd/sagevale/serve.go
@@ -67,7 +67,9 @@
 	server := transport.NewServer(node, transport.Bounds{Sockets: s.Sockets, MemoryMB: s.MemoryMB}, log)
 	usage := &telemetry.Reporter{
 		Log: log, Interval: time.Duration(usageReports * float64(s.Report)), CPUShare: s.CPUShare,
-		Gauges: func() []any { return []any{"role", node.Role(), "connections", server.Connections()} },
+		Gauges: func() []any {
+			return append([]any{"role", node.Role(), "connections", server.Connections()}, node.ArchiveGauges()...)
+		},
 	}
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return node.Run(ctx) })
--- /dev/null
+++ b/internal/archive/keeper.go
@@ -0,0 +1,202 @@
+package archive
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"sagevale/internal/storage"
+)
+
+const (
+	// writeShare of the state service's changes, and readShare of its requests, are the archive's:
+	// it comes behind the journal.
+	writeShare = 0.05
+	readShare  = 0.05
+	// leastBurst lets a page be split in one transaction, whatever the share.
+	leastBurst = 4
+	// queueSize bounds what waits for the keeper; beyond it callers are told so at once.
+	queueSize = 64
+	// loadRest is the least pause between two steps of a load, in durations of one.
+	loadRest = 10
+	// loadPages is how many pages one step of a load reads at the most, as the protocol has it.
+	loadPages = 1000
+)
+
+// Errors of the keeper. None of them says anything of a job.
+var (
+	// ErrBusy: too much is asked; to be asked again later.
+	ErrBusy = errors.New("too many questions to the archive")
+	// ErrNotExact: the pages, as this leader knows them, may be outdated.
+	ErrNotExact = errors.New("the archive's pages aren't all read yet")
+	// ErrDeposed: another controller leads.
+	ErrDeposed = errors.New("leadership has moved on")
+)
+
+// Settings are the keeper's.
+type Settings struct {
+	Refresh     time.Duration // how often a follower looks for changed pages
+	CallTime    time.Duration // the longest that one request may take
+	MemoryBytes int           // of the pages held in memory
+	Follow      bool          // hold pages also while another controller leads
+}
+
+// Keeper is the actor of one controller that reads the archive's pages, and while the controller
+// leads writes them.
+type Keeper struct {
+	Index *Index
+
+	svc      storage.StateService
+	limits   *storage.LimitTracker
+	settings Settings
+	log      *slog.Logger
+	reads    *rate.Limiter
+	writes   *rate.Limiter
+	in       chan request
+
+	lead       *Lead  // nil: another controller leads
+	revision   uint64 // of the state service, up to which changes are known
+	loading    bool   // the pages are being read, after cursor
+	cursor     string
+	seen       map[Rank]bool // pages that the load has seen
+	loadedFrom uint64        // the revision at which the load began
+	wake       time.Time     // when the next step is due by itself
+	reported   string        // the last trouble that was logged as an error
+}
+
+// Lead is a term of leadership.
+type Lead struct {
+	Term  uint64
+	Guard storage.Guard // the leadership key
+}
+
+// request is what the keeper is asked; it answers by itself.
+type request interface {
+	serve(ctx context.Context, k *Keeper)
+}
+
+// NewKeeper makes a keeper; Run starts it.
+func NewKeeper(svc storage.StateService, limits *storage.LimitTracker, settings Settings, log *slog.Logger) *Keeper {
+	now := limits.Limits()
+	return &Keeper{
+		Index: NewIndex(settings.MemoryBytes), svc: svc, limits: limits, settings: settings, log: log,
+		reads:  rate.NewLimiter(rate.Limit(now.RequestsPerS*readShare), max(leastBurst, int(now.RequestsPerS*readShare))),
+		writes: rate.NewLimiter(rate.Limit(now.ChangesPerS*writeShare), max(leastBurst, int(now.ChangesPerS*writeShare))),
+		in:     make(chan request, queueSize),
+	}
+}
+
+// Run serves until ctx ends. Without a lead, and unless it follows, it asks the state service nothing.
+func (k *Keeper) Run(ctx context.Context) {
+	if k.settings.Follow {
+		k.wake = time.Now()
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-k.in:
+			r.serve(ctx, k)
+		case <-timer.C:
+		}
+		if !k.wake.IsZero() && !time.Now().Before(k.wake) {
+			k.refresh(ctx)
+		}
+		if !k.wake.IsZero() {
+			timer.Reset(time.Until(k.wake))
+		}
+	}
+}
+
+// ask hands a request to the keeper, or tells at once that it is too much.
+func (k *Keeper) ask(r request) error {
+	select {
+	case k.in <- r:
+		return nil
+	default:
+		return ErrBusy
+	}
+}
+
+// call gives one request to the state service its time.
+func (k *Keeper) call(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, k.settings.CallTime)
+}
+
+// applyLimits takes up what the state service's limits have become.
+func (k *Keeper) applyLimits() storage.Limits {
+	now := k.limits.Limits()
+	k.reads.SetLimit(rate.Limit(now.RequestsPerS * readShare))
+	k.writes.SetLimit(rate.Limit(now.ChangesPerS * writeShare))
+	return now
+}
+
+// beginTerm and endTerm say who leads.
+type beginTerm struct {
+	lead Lead
+	done chan struct{}
+}
+
+func (r beginTerm) serve(_ context.Context, k *Keeper) {
+	k.lead = &r.lead
+	k.wake = time.Now()
+	close(r.done)
+}
+
+type endTerm struct{ term uint64 }
+
+func (r endTerm) serve(_ context.Context, k *Keeper) {
+	if k.lead == nil || k.lead.Term != r.term {
+		return
+	}
+	k.lead, k.wake = nil, time.Time{}
+	if k.settings.Follow {
+		k.wake = time.Now()
+	}
+}
+
+// Begin says that this controller leads. From now on pages are read for the term.
+func (k *Keeper) Begin(ctx context.Context, lead Lead) {
+	r := beginTerm{lead, make(chan struct{})}
+	select {
+	case k.in <- r:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-r.done:
+	case <-ctx.Done():
+	}
+}
+
+// End says that a term is over.
+func (k *Keeper) End(ctx context.Context, term uint64) {
+	select {
+	case k.in <- endTerm{term}:
+	case <-ctx.Done():
+	}
+}
+
+// exact tells whether the index is known to be exact in the present term.
+func (k *Keeper) exact() bool {
+	return k.lead != nil && k.Index.ExactIn(k.lead.Term)
+}
+
+// doubt has the index be brought up to date again before anything rests on it.
+func (k *Keeper) doubt() {
+	k.Index.edit(func(s *snapshot) { s.term = 0 })
+	k.wake = time.Now()
+}
+
+// report logs a damaged page once.
+func (k *Keeper) report(err error) {
+	if err.Error() != k.reported {
+		k.reported = err.Error()
+		k.log.Error("archive", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/coordination/archive_status.go
@@ -0,0 +1,64 @@
+package coordination
+
+import (
+	"context"
+
+	"sagevale/internal/archive"
+	"sagevale/internal/storage"
+	"sagevale/internal/upgrade"
+)
+
+// ArchiveStatus is what the state service tells of the archive of finished jobs, for operators.
+type ArchiveStatus struct {
+	Gate    upgrade.GateState // the zero state is closed
+	Waiting string            // what the latest leader to say so waits for; "": nothing
+	Stored  archive.Stored
+	Backlog int // finished jobs that are in the journal
+	Open    int // jobs that aren't finished
+}
+
+// ReadArchiveStatus reads all pages and the journal. It writes nothing.
+func ReadArchiveStatus(ctx context.Context, svc storage.StateService, s *Settings) (ArchiveStatus, error) {
+	upgrading, err := ReadUpgradeStatus(ctx, svc, s)
+	if err != nil {
+		return ArchiveStatus{}, err
+	}
+	status := ArchiveStatus{Gate: upgrading.Record.Gate(upgrade.JobArchive), Waiting: upgrading.Waiting}
+	if status.Stored, err = archive.ReadStored(ctx, svc); err != nil {
+		return ArchiveStatus{}, err
+	}
+	return status, status.countJournal(ctx, svc, s)
+}
+
+// countJournal counts the jobs whose records are in the journal.
+func (a *ArchiveStatus) countJournal(ctx context.Context, svc storage.StateService, s *Settings) error {
+	journal, err := storage.OpenJournal(ctx, svc, storage.NewLimitTracker(s.State), storage.Guard{})
+	if err != nil {
+		return err
+	}
+	for _, r := range journal.Records() {
+		if r.Key[0] != storage.KindJob {
+			continue
+		}
+		finished, err := storage.IsFinished(r)
+		switch {
+		case err != nil:
+			return err
+		case finished:
+			a.Backlog++
+		default:
+			a.Open++
+		}
+	}
+	return nil
+}
+
+// ArchiveGauges are figures of this process's view of the archive, for its usage line; nothing where it
+// holds none.
+func (n *Node) ArchiveGauges() []any {
+	stats := n.archive.Index.Stats()
+	if stats.Pages == 0 {
+		return nil
+	}
+	return []any{"archived", stats.Jobs, "archive_pages", stats.Pages, "archive_bytes", stats.Bytes, "archive_evicted", stats.Evicted, "archive_damaged", stats.Damaged}
+}
--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -98,7 +98,7 @@
 		j := d.accept(s)
 		d.placeRound(time.Now())
 		d.free(j.attempts[0], "placed")
-		delete(d.open, s.ID)
+		delete(d.jobs.open, s.ID)
 	}
 }
 
@@ -145,7 +145,7 @@
 	for _, m := range d.order {
 		add(storage.MachineKey(m.id), m.record())
 	}
-	for id, j := range d.open {
+	for id, j := range d.jobs.open {
 		add(storage.JobKey(id), j.record())
 		add(storage.PageKey(id, 0), j.page(0))
 	}
--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -219,7 +219,7 @@
 // present counts a class's booked and waiting tasks.
 func (d *dispatcher) present(class string) int {
 	n := 0
-	for _, j := range d.open {
+	for _, j := range d.jobs.open {
 		if j.spec.Class == class && j.phase == storage.Open {
 			n += len(j.attempts) + j.waiting
 		}
@@ -246,7 +246,7 @@
 	}
 	d.perGPUAt = now
 	d.perGPU = storage.Room{}
-	for _, j := range d.open {
+	for _, j := range d.jobs.open {
 		if g := j.spec.Room.GPUs; g > 0 {
 			d.perGPU.CPUs = max(d.perGPU.CPUs, j.spec.Room.CPUs/g)
 			d.perGPU.MemoryGB = max(d.perGPU.MemoryGB, j.spec.Room.MemoryGB/g)
--- a/internal/coordination/delegation.go
+++ b/internal/coordination/delegation.go
@@ -165,9 +165,9 @@
 		return
 	}
 	p := &delegationTerms{at: now, holdOut: d.role.HoldOut, excluded: make(map[string][]int)}
-	for id, j := range d.cancelling {
+	for id, j := range d.jobs.cancelling {
 		if len(j.attempts) == 0 {
-			delete(d.cancelling, id)
+			delete(d.jobs.cancelling, id)
 		}
 		for _, a := range j.attempts {
 			if z := a.on.zone; !slices.Contains(p.excluded[z], a.on.id) {
--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"sagevale/internal/archive"
 	"sagevale/internal/storage"
 	"sagevale/internal/upgrade"
 )
@@ -49,27 +50,28 @@
 	closed  chan struct{}
 	ctx     context.Context
 
-	began        time.Time
-	types        map[string]*storage.MachineType
-	typeNames    []string
-	jobs         map[string]*job
-	open         map[string]*job // open jobs, or final ones with attempts left
-	cancelling   map[string]*job // cancelled jobs with attempts left
-	machines     map[int]*machine
-	order        []*machine // the same, by number
-	reservations *storage.Reservations
-	classes      map[string]*class
-	rentals      map[string]storage.RentalRecord // open at the take-over
-	desired      int
-	nextTry      uint64
-	refused      map[offer]time.Time
+	began           time.Time
+	types           map[string]*storage.MachineType
+	typeNames       []string
+	jobs            *jobTable
+	archive         *archive.Keeper
+	archiveUsed     bool // jobs may be archived
+	archiveCompared bool // with the open jobs
+	moving          bool // finished jobs are offered to the archive
+	machines        map[int]*machine
+	order           []*machine // the same, by number
+	reservations    *storage.Reservations
+	classes         map[string]*class
+	rentals         map[string]storage.RentalRecord // open at the take-over
+	desired         int
+	nextTry         uint64
+	refused         map[offer]time.Time
 
 	dirty     map[string]func() any // record key -> its data when written
 	committed []func(error)         // called when what is dirty now is durable
 	writing   map[string]bool       // keys in the commit under way
 	inCommit  []func(error)
 	waiters   []*waiter
-	openTasks int       // tasks kept in memory
 	commitAt  time.Time // when the commit under way began; zero: none
 	place     bool      // something changed that placement should look at
 
@@ -94,8 +96,9 @@
 type (
 	roleMsg struct{ role Role }
 	userMsg struct {
-		req   UserRequest
-		reply chan Answer
+		req    UserRequest
+		reply  chan Answer
+		absent bool // the job is known not to be archived
 	}
 	heartbeatsMsg struct {
 		reports []*Report
@@ -110,7 +113,12 @@
 	}
 	gatesMsg struct {
 		record upgrade.Record
-		reply  chan int // the open gangs
+		reply  chan gateUses
+	}
+	// gateUses is what the dispatcher knows to depend on gates.
+	gateUses struct {
+		openGangs int
+		archive   bool // jobs may be archived: the archive itself is to be counted
 	}
 	committedMsg struct{ err error }
 	catalogueMsg struct{ types []storage.MachineType }
@@ -133,7 +141,7 @@
 		rand:    rand.New(rand.NewPCG(deps.Rand.Uint64(), role.Term)),
 		mailbox: make(chan any, mailboxSize), closed: make(chan struct{}), ctx: context.Background(),
 		began: time.Now(), types: make(map[string]*storage.MachineType),
-		jobs: make(map[string]*job), open: make(map[string]*job), machines: make(map[int]*machine), cancelling: make(map[string]*job),
+		jobs: newJobTable(), machines: make(map[int]*machine),
 		reservations: storage.NewReservations(), classes: make(map[string]*class), rentals: make(map[string]storage.RentalRecord),
 		nextTry: role.Term * tryStride, refused: make(map[offer]time.Time),
 		dirty: make(map[string]func() any), removed: make(map[int]bool), place: true,
@@ -141,6 +149,7 @@
 		gates: role.cluster.record, requestGate: func(upgrade.GateName) {},
 	}
 	d.setRole(role)
+	d.useArchive()
 	return d, d.load(journal.Records())
 }
 
@@ -161,7 +170,7 @@
 	reply := make(chan Answer, 1)
 	asked := time.Now()
 	select {
-	case d.mailbox <- userMsg{req, reply}:
+	case d.mailbox <- userMsg{req: req, reply: reply}:
 	case <-d.closed:
 		return Unavailable(req.ID, "leader is stepping down")
 	default:
@@ -282,13 +291,19 @@
 			answers = append(answers, d.handleHeartbeat(r))
 		}
 		m.reply <- answers
+	case archiveReadMsg:
+		d.handleArchiveRead(m)
+	case movedMsg:
+		d.handleMoved(m)
+	case restoreMsg:
+		d.restore(m)
 	case directMsg:
 		d.handleDirect(m)
 	case committedMsg:
 		d.handleCommitted(m.err)
 	case gatesMsg:
 		d.setGates(m.record)
-		m.reply <- d.openGangs()
+		m.reply <- gateUses{d.jobs.openGangs(), d.archiveUsed}
 	case catalogueMsg:
 		d.setTypes(m.types)
 		d.mark(storage.CatalogueKey, func() any { return m.types })
@@ -321,6 +336,8 @@
 		d.failWaiting(Unavailable("", "state service slow or out of reach"))
 	}
 	d.failGateWaiters(now)
+	d.compareArchive()
+	d.moveFinished(now)
 	d.updatePeerRenewals()
 	d.expire(now)
 	d.tendGangs(now)
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -146,7 +146,7 @@
 // machines that hang or fetch for too long, and has them start elsewhere.
 func (d *dispatcher) tendGangs(now time.Time) {
 	patience := scale(d.settings.GangWait, gatherShare)
-	for _, j := range d.open {
+	for _, j := range d.jobs.open {
 		if !j.spec.Gang || j.phase != storage.Open || patience <= 0 || !j.whole() || j.gatherTime(now) < patience {
 			continue
 		}
--- a/internal/coordination/gang_test.go
+++ b/internal/coordination/gang_test.go
@@ -264,7 +264,7 @@
 			t.Errorf("%d stopped for a gang that finds no room all the same", n)
 		}
 		g := d.accept(gangOf("000003", 5))
-		d.jobs["000002"].pauseTill = time.Now().Add(time.Hour)
+		d.jobs.get("000002").pauseTill = time.Now().Add(time.Hour)
 		time.Sleep(time.Second)
 		d.placeRound(time.Now())
 		if n := stopped(); n != 3 || len(g.attempts) != 0 {
@@ -324,7 +324,7 @@
 			t.Fatal(err)
 		}
 		d.setTypes(testTypes)
-		j := d.jobs["000001"]
+		j := d.jobs.get("000001")
 		for i := 10; i < 14; i++ {
 			d.up(i, "cpu", "a", false)
 		}
--- a/internal/coordination/gates.go
+++ b/internal/coordination/gates.go
@@ -39,6 +39,7 @@
 // setGates takes in what is in force, and goes on with what waited for it.
 func (d *dispatcher) setGates(record upgrade.Record) {
 	d.gates = record
+	d.useArchive()
 	waiting := d.gateWaiters
 	d.gateWaiters = nil
 	for _, w := range waiting {
@@ -62,17 +63,6 @@
 	})
 }
 
-// openGangs counts the gang jobs that aren't over, or still have tasks somewhere.
-func (d *dispatcher) openGangs() int {
-	gangs := 0
-	for _, j := range d.open {
-		if j.spec.Gang {
-			gangs++
-		}
-	}
-	return gangs
-}
-
 // encodingOf is what the journal may write under a cluster record.
 func encodingOf(record upgrade.Record) storage.Encoding {
 	gate := record.Gate(upgrade.CompressedChunks)
@@ -98,11 +88,11 @@
 // setGates publishes a record; with count it also returns what depends on each gate.
 func (t termGates) setGates(ctx context.Context, record upgrade.Record, count bool) (upgrade.Usage, error) {
 	t.journal.SetEncoding(encodingOf(record))
-	reply := make(chan int, 1)
+	reply := make(chan gateUses, 1)
 	t.dispatcher.post(gatesMsg{record, reply})
-	var gangs int
+	var uses gateUses
 	select {
-	case gangs = <-reply:
+	case uses = <-reply:
 	case <-t.dispatcher.closed:
 		return nil, errTermEnded
 	case <-ctx.Done():
@@ -117,6 +107,9 @@
 	if err != nil {
 		return nil, err
 	}
-	usage := upgrade.Usage{upgrade.GangJobs: gangs, upgrade.CompressedChunks: encoded}
-	return usage, nil
+	usage := upgrade.Usage{upgrade.GangJobs: uses.openGangs, upgrade.CompressedChunks: encoded}
+	if uses.archive {
+		usage[upgrade.JobArchive], err = t.countArchived(ctx, record)
+	}
+	return usage, err
 }
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -68,7 +68,7 @@
 		if err := d.load(records); err != nil {
 			t.Fatal(err)
 		}
-		if j := d.jobs["000001"]; j.phase != storage.Done || len(d.dirty) == 0 {
+		if j := d.jobs.get("000001"); j.phase != storage.Done || len(d.dirty) == 0 {
 			t.Errorf("phase %v", j.phase)
 		}
 	})
@@ -170,7 +170,7 @@
 		d := newTestDispatcher(t, grownSettings())
 		tell := func(op UserOp, spec storage.Spec) (Answer, bool) {
 			reply := make(chan Answer, 1)
-			d.handleUser(userMsg{UserRequest{Op: op, ID: spec.ID, Spec: spec}, reply})
+			d.handleUser(userMsg{req: UserRequest{Op: op, ID: spec.ID, Spec: spec}, reply: reply})
 			select {
 			case a := <-reply:
 				return a, true
@@ -201,7 +201,7 @@
 		if got, _ := tell(OpPoll, a); got.final() {
 			t.Errorf("cancelled before it is durable: %+v", got)
 		}
-		j := d.jobs[b.ID]
+		j := d.jobs.get(b.ID)
 		j.setTask(0, taskDone)
 		d.finish(j)
 		if got, _ := tell(OpPoll, b); got.final() {
--- a/internal/coordination/job.go
+++ b/internal/coordination/job.go
@@ -31,6 +31,8 @@
 	fits     []string // machine types that may hold a task; nil: not yet known
 	types    string   // the allowed types in one string
 
+	storedPages []string // keys of page records that the term began with, of a final job
+
 	gang gang // of a job whose tasks run together
 
 	failures  int // tasks that failed since the last success
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -20,18 +20,12 @@
 			return fmt.Errorf("record %s: %w", r.Key, err)
 		}
 	}
-	known := make([]*job, 0, len(d.jobs))
-	for _, j := range d.jobs {
-		known = append(known, j)
-	}
-	sort.Slice(known, func(a, b int) bool { return known[a].submitted.Before(known[b].submitted) })
-	for _, j := range known {
+	for _, j := range d.jobs.inOrder() {
 		if j.tasks != nil {
 			d.arrival(j)
 		}
 		if j.phase == storage.Open || len(j.attempts) > 0 {
-			d.open[j.spec.ID] = j
-			d.openTasks += len(j.tasks)
+			d.jobs.hold(j)
 			// Its pages may have become durable and its own record not.
 			if j.spec.Gang && j.done > 0 {
 				d.gangDone(j) // an earlier version noted them one by one
@@ -39,9 +33,10 @@
 			d.finish(j)
 		} else {
 			j.tasks, j.waiting = nil, 0
+			d.finished(j)
 		}
 		if j.phase != storage.Open {
-			d.cancelling[j.spec.ID] = j
+			d.jobs.cancel(j)
 			d.stopAll(j)
 		}
 	}
@@ -97,7 +92,7 @@
 			return err
 		}
 		id, _, _ := strings.Cut(rest, "/")
-		d.loadPage(id, rec)
+		d.loadPage(id, r.Key, rec)
 	}
 	return nil
 }
@@ -116,11 +111,17 @@
 			j.tasks, j.waiting = nil, 0
 		}
 	}
-	d.jobs[id] = j
+	d.jobs.load(j)
 }
 
-func (d *dispatcher) loadPage(id string, rec storage.PageRecord) {
-	j := d.jobs[id]
+func (d *dispatcher) loadPage(id, key string, rec storage.PageRecord) {
+	j := d.jobs.get(id)
+	switch {
+	case j == nil && d.archiveUsed:
+		d.mark(key, func() any { return nil }) // its job was archived, and the removal cut short
+	case j != nil && j.settled:
+		j.storedPages = append(j.storedPages, key)
+	}
 	if j == nil || j.tasks == nil {
 		return
 	}
@@ -152,7 +153,7 @@
 	for _, m := range d.machines {
 		m.typ = d.types[m.kind]
 	}
-	for _, j := range d.jobs {
+	for _, j := range d.jobs.all {
 		j.fits = nil
 	}
 }
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"sagevale/internal/archive"
 	"sagevale/internal/storage"
 	"sagevale/internal/upgrade"
 )
@@ -44,6 +45,7 @@
 	relay        *relayClient
 	forwarder    *forwarder
 	limitTracker *storage.LimitTracker
+	archive      *archive.Keeper
 	roles        chan Role
 	view         atomic.Pointer[view] // published by the node's own goroutine
 }
@@ -66,6 +68,7 @@
 	}
 	n.membership = &membership{svc: deps.State, settings: s, session: n.lead.run, log: deps.Log}
 	n.lead.registered = n.membership.registered.Load
+	n.archive = newArchive(s, deps, n.limitTracker)
 	n.relay = newRelayClient(s, deps, n.limitTracker)
 	n.forwarder = newForwarder(n)
 	n.view.Store(&view{})
@@ -85,6 +88,7 @@
 	g.Go(func() error { return n.lead.Run(ctx) })
 	g.Go(func() error { n.follow(ctx); return nil })
 	g.Go(func() error { n.relay.run(ctx); return nil })
+	g.Go(func() error { n.archive.Run(ctx); return nil })
 	g.Go(func() error { n.forwarder.run(ctx); return nil })
 	return g.Wait()
 }
@@ -161,9 +165,10 @@
 	u := newUpgradeController(n.settings, n.deps, role, termGates{d, journal}, log)
 	d.requestGate = u.requestUse
 	d.gates = role.cluster.record
+	n.beginArchive(ctx, d, role)
 	journal.OnEncodingNeeded(func() { u.requestUse(upgrade.CompressedChunks) })
 	journal.SetEncoding(encodingOf(role.cluster.record))
-	log.Info("take-over", "jobs", len(d.jobs), "machines", len(d.machines), "attempts", d.reservations.Attempts(), "took", time.Since(started))
+	log.Info("take-over", "jobs", d.jobs.count(), "machines", len(d.machines), "attempts", d.reservations.Attempts(), "took", time.Since(started))
 	g, gctx := errgroup.WithContext(ctx)
 	d.ctx, c.ctx = gctx, gctx // before any of the actors can speak to another
 	g.Go(func() error { return journal.Run(gctx) })
@@ -177,12 +182,21 @@
 	}
 	err = g.Wait()
 	d.close()
+	n.archive.End(context.WithoutCancel(ctx), role.Term)
 	if err != nil && !errors.Is(err, context.Canceled) {
 		log.Error("term ended", "err", err)
 		n.resign(role.Term)
 	}
 }
 
+// beginArchive has the archive's pages be read for a term, if there may be any.
+func (n *Node) beginArchive(ctx context.Context, d *dispatcher, role Role) {
+	d.archive = n.archive
+	if d.archiveUsed || n.settings.Tuning.Archive.Enabled {
+		n.archive.Begin(ctx, archive.Lead{Term: role.Term, Guard: role.Guard})
+	}
+}
+
 // resign asks the leadership to end a term, unless it is ending anyway.
 func (n *Node) resign(term uint64) {
 	select {
@@ -243,6 +257,9 @@
 	if v.dispatcher != nil {
 		return v.dispatcher.user(ctx, req)
 	}
+	if a, ok := n.archived(req); ok {
+		return a
+	}
 	leader, _ := n.leader(v)
 	if leader == "" || leader == n.settings.Node {
 		return Unavailable(req.ID, "no leader yet")
--- a/internal/coordination/packing.go
+++ b/internal/coordination/packing.go
@@ -168,7 +168,7 @@
 // batchPlaces counts the places that ending work holds now.
 func (d *dispatcher) batchPlaces() int {
 	n := 0
-	for _, j := range d.open {
+	for _, j := range d.jobs.open {
 		if !j.spec.Service {
 			n += len(j.attempts)
 		}
--- a/internal/coordination/paired_guards_test.go
+++ b/internal/coordination/paired_guards_test.go
@@ -26,13 +26,13 @@
 		clear(d.dirty)
 		for op, id := range map[UserOp]string{OpSubmit: "000002", OpPoll: "000001", OpCancel: "000001"} {
 			reply := make(chan Answer, 1)
-			d.handleUser(userMsg{UserRequest{Op: op, ID: id, Spec: service(id, 1)}, reply})
+			d.handleUser(userMsg{req: UserRequest{Op: op, ID: id, Spec: service(id, 1)}, reply: reply})
 			if a := <-reply; a.Code != CodeUnavailable || a.RetryS == 0 {
 				t.Errorf("request %d is answered %+v", op, a)
 			}
 		}
-		if len(d.jobs) != 1 || len(d.dirty) != 0 || d.jobs["000001"].phase != storage.Open {
-			t.Errorf("%d jobs, %d records to write", len(d.jobs), len(d.dirty))
+		if d.jobs.count() != 1 || len(d.dirty) != 0 || d.jobs.get("000001").phase != storage.Open {
+			t.Errorf("%d jobs, %d records to write", d.jobs.count(), len(d.dirty))
 		}
 	})
 }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -68,7 +68,7 @@
 // waitingJobs lists the open jobs with tasks to place.
 func (d *dispatcher) waitingJobs(now time.Time) []*job {
 	var waiting []*job
-	for _, j := range d.open {
+	for _, j := range d.jobs.open {
 		if j.phase == storage.Open && j.waiting > 0 && !now.Before(j.pauseTill) {
 			waiting = append(waiting, j)
 		}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -188,7 +188,7 @@
 		}
 		return
 	}
-	j := d.jobs[t.ID.Job]
+	j := d.jobs.get(t.ID.Job)
 	if t.State == Ended {
 		if j != nil && t.Cause == CauseDone && t.ID.Task < len(j.tasks) && j.tasks[t.ID.Task] == taskWaiting {
 			if j.spec.Gang {
@@ -250,7 +250,7 @@
 // enter reserves the room of an attempt.
 func (d *dispatcher) enter(a *attempt) {
 	if a.job.phase == storage.Cancelled {
-		d.cancelling[a.job.spec.ID] = a.job
+		d.jobs.cancel(a.job)
 	}
 	a.job.attempts[a.task] = a
 	a.job.setTask(a.task, taskActive)
--- a/internal/coordination/scale_test.go
+++ b/internal/coordination/scale_test.go
@@ -67,7 +67,7 @@
 func (d *dispatcher) accept(spec storage.Spec) *job {
 	j := newJob(spec, time.Now())
 	j.known = true
-	d.jobs[spec.ID], d.open[spec.ID] = j, j
+	d.jobs.insert(j)
 	d.arrival(j)
 	return j
 }
--- a/internal/coordination/settings.go
+++ b/internal/coordination/settings.go
@@ -67,6 +67,7 @@
 	LeaderLease        time.Duration // life of the leadership grant
 	HeadroomDeviations float64       // standard deviations of arrivals to keep room for
 	Upgrade            upgrade.Settings
+	Archive            ArchiveTuning
 }
 
 // growBound is the most machines that one step may rent: the operators' figure,
@@ -114,6 +115,7 @@
 		LeaderLease:        scale(s.Lease, leaderPerLease),
 		HeadroomDeviations: headroomDefault,
 		Upgrade:            s.defaultUpgrade(),
+		Archive:            s.defaultArchive(),
 	}
 }
 
--- a/internal/coordination/simulation_test.go
+++ b/internal/coordination/simulation_test.go
@@ -39,6 +39,7 @@
 	starts   int
 	apart    atomic.Pointer[string] // a zone that is cut off from everything
 	over     atomic.Bool            // machines that boot now stay away
+	dropped  atomic.Bool            // a leader has been killed with what it sent
 	log      *slog.Logger
 	slow     atomic.Int64 // up to how long each log record holds up its node, in ns
 }
@@ -79,6 +80,12 @@
 
 // inSimulationWith runs a scenario in simulated time, with settings of its own.
 func inSimulationWith(t *testing.T, change func(*Settings), story func(sim *simulation)) {
+	t.Helper()
+	inSimulationTuned(t, change, func(*Tuning) {}, story)
+}
+
+// inSimulationTuned runs a scenario with the operators' settings changed too.
+func inSimulationTuned(t *testing.T, change func(*Settings), tune func(*Tuning), story func(sim *simulation)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		sim := &simulation{
@@ -95,6 +102,7 @@
 		sim.log = slog.New(&slowProcessor{Handler: slog.NewTextHandler(io.Discard, nil), sim: sim, rand: rand.New(rand.NewPCG(3, 5))})
 		change(&sim.settings)
 		sim.settings.Tuning = sim.settings.DefaultTuning()
+		tune(&sim.settings.Tuning)
 		sim.state = storagetest.NewService()
 		sim.cloud = &fakeCloud{sim: sim, rentals: make(map[string][]int)}
 		for i, zone := range []string{"a", "b", "a"} {
--- a/internal/coordination/upgrade_controller.go
+++ b/internal/coordination/upgrade_controller.go
@@ -174,7 +174,7 @@
 		return s, nil
 	}
 	usage, err := c.users.setGates(ctx, c.inForce(), true)
-	if err != nil {
+	if err != nil && !errors.As(err, &s.Blocked) {
 		return s, err
 	}
 	c.nextCount = s.Now.Add(own.Policy.ReleaseAfter / countsPerRelease)
--- a/internal/coordination/upgrade_rollback_test.go
+++ b/internal/coordination/upgrade_rollback_test.go
@@ -154,7 +154,7 @@
 		back := sim.awaitLeader()
 		back.replace(upgrade.Version2)
 		sim.eventually("refused", 20*time.Second, func() bool { return back.refused.Load() != nil })
-		if why := (*back.refused.Load()).Error(); !strings.Contains(why, "version 3 or later is needed") || strings.Contains(why, "\n") {
+		if why := (*back.refused.Load()).Error(); !strings.Contains(why, fmt.Sprintf("version %d or later is needed", upgrade.Current)) || strings.Contains(why, "\n") {
 			t.Errorf("it ends with %q", why)
 		}
 		sim.awaitLeader()
--- a/internal/coordination/urgency.go
+++ b/internal/coordination/urgency.go
@@ -169,7 +169,7 @@
 // batchPace is how many places ending work gives free in a second; 0: not known.
 func (d *dispatcher) batchPace(now time.Time) float64 {
 	places, runS := 0, 0.0
-	for _, j := range d.open {
+	for _, j := range d.jobs.open {
 		if n := len(j.attempts); !j.spec.Service && n > 0 {
 			places += n
 			runS += float64(n) * d.runTime(j)
@@ -215,7 +215,7 @@
 // fit into it together with the team's earlier unfinished jobs.
 func (d *dispatcher) guaranteed() map[*job]bool {
 	byTeam := make(map[string][]*job)
-	for _, j := range d.open {
+	for _, j := range d.jobs.open {
 		if t := d.settings.team(j.spec.Team); j.phase == storage.Open && t != nil && t.Guarantee != (storage.Room{}) {
 			byTeam[t.Name] = append(byTeam[t.Name], j)
 		}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -54,11 +54,17 @@
 
 func (d *dispatcher) handleUser(m userMsg) {
 	now := time.Now()
-	j := d.jobs[m.req.ID]
+	j := d.jobs.get(m.req.ID)
+	if j != nil {
+		d.settleArchived(j)
+	}
 	if j != nil && j.settled {
 		m.reply <- j.answer(CodeOK)
 		return
 	}
+	if j == nil && d.answerArchived(m, now) {
+		return
+	}
 	// Anything that isn't final may be outdated by a successor.
 	if !d.certain(now) {
 		m.reply <- Unavailable(m.req.ID, "leadership not certain")
@@ -110,13 +116,12 @@
 			d.awaitGate(m, upgrade.GangJobs, now)
 			return
 		}
-		if d.openTasks+spec.Tasks > d.settings.maxTasks() {
+		if d.jobs.openTasks+spec.Tasks > d.settings.maxTasks() {
 			m.reply <- Answer{Code: CodeBusy, ID: spec.ID, Reason: "too many tasks are waiting", RetryS: int(d.settings.Lease.Seconds())}
 			return
 		}
 		j = newJob(spec, now)
-		d.jobs[spec.ID], d.open[spec.ID] = j, j
-		d.openTasks += spec.Tasks
+		d.jobs.insert(j)
 		d.arrival(j)
 		d.markJob(j)
 		d.place = true
@@ -197,7 +202,7 @@
 		return
 	case j.phase == storage.Open:
 		j.phase = storage.Cancelled
-		d.cancelling[j.spec.ID] = j
+		d.jobs.cancel(j)
 		d.leave(j, now)
 		d.log.Debug("cancel", "job", j.spec.ID, "attempts", len(j.attempts))
 		d.markJob(j)
@@ -235,13 +240,16 @@
 	if !j.settled || len(j.attempts) > 0 || j.tasks == nil {
 		return
 	}
-	d.openTasks -= len(j.tasks)
 	for p := 0; p*storage.PageTasks < len(j.tasks); p++ {
 		d.mark(storage.PageKey(j.spec.ID, p), func() any { return nil })
 	}
-	j.tasks, j.waiting = nil, 0
-	delete(d.open, j.spec.ID)
+	d.jobs.release(j)
 	d.markJob(j)
+	d.onCommit(func(err error) {
+		if err == nil {
+			d.finished(j)
+		}
+	})
 }
 
 // stopAll has every attempt of a job stopped at once.
--- a/internal/fleetload/config.go
+++ b/internal/fleetload/config.go
@@ -15,6 +15,7 @@
 	Controllers int           `json:"controllers"`
 	Workers     int           `json:"workers"`
 	Running     int           `json:"running"`       // standing tasks
+	PerStanding int           `json:"per_standing"`  // standing tasks of one job
 	StartsPerS  float64       `json:"starts_per_s"`  // of short tasks
 	TasksPerJob int           `json:"tasks_per_job"` // of the short ones
 	TaskTime    time.Duration `json:"task_ns"`
@@ -39,7 +40,7 @@
 // DefaultConfig is a small experiment.
 func DefaultConfig() Config {
 	return Config{
-		Controllers: 3, Workers: 100, Running: 500, StartsPerS: 20, TasksPerJob: 10, TaskTime: 5 * time.Second, UrgentShare: 0.1, Teams: 4, ArchiveKeep: -1,
+		Controllers: 3, Workers: 100, Running: 500, PerStanding: 200, StartsPerS: 20, TasksPerJob: 10, TaskTime: 5 * time.Second, UrgentShare: 0.1, Teams: 4, ArchiveKeep: -1,
 		Report: 3 * time.Second, Lease: 22 * time.Second, Fill: 5 * time.Minute, Duration: 30 * time.Second, Seed: 1, MemoryMB: 512, ChangesPerS: 500,
 		LogLevel: "info",
 	}
@@ -72,6 +73,7 @@
 		{c.Controllers < 1 || c.Controllers > mostControllers, "controllers", fmt.Sprintf("must be from 1 to %d", mostControllers)},
 		{c.Workers < 1, "workers", "must be above 0"},
 		{c.Running < 0, "running", "must not be negative"},
+		{c.PerStanding < 1, "per-standing", "must be above 0"},
 		{c.StartsPerS < 0, "starts", "must not be negative"},
 		{c.TasksPerJob < 1, "tasks", "must be above 0"},
 		{c.TaskTime <= 0, "task-time", "must be above 0"},
--- a/internal/fleetload/experiment.go
+++ b/internal/fleetload/experiment.go
@@ -73,7 +73,7 @@
 // teamLimit leaves each team a quarter more than its even share of what is to run.
 func (c *Config) teamLimit() float64 {
 	even := float64(c.standing()+c.churning()) / float64(c.Teams)
-	return math.Ceil(1.25*even) + standingTasks
+	return math.Ceil(1.25*even) + float64(c.PerStanding)
 }
 
 // properties keep the fleet at its size, and switch on what the experiment asks for.
--- a/internal/fleetload/load.go
+++ b/internal/fleetload/load.go
@@ -20,8 +20,6 @@
 	submitWithin = time.Minute
 	// mostUsers bounds requests under way; beyond it jobs aren't offered.
 	mostUsers = 512
-	// standingTasks is how many tasks a standing job has at the most.
-	standingTasks = 200
 	// mostLatency is the longest latency that is told apart, in microseconds.
 	mostLatency = int64(10 * time.Minute / time.Microsecond)
 )
@@ -67,8 +65,8 @@
 
 // stand submits the standing tasks.
 func (l *load) stand(ctx context.Context) error {
-	for left := l.config.standing(); left > 0; left -= standingTasks {
-		j := l.newJob("service", min(left, standingTasks))
+	for left := l.config.standing(); left > 0; left -= l.config.PerStanding {
+		j := l.newJob("service", min(left, l.config.PerStanding))
 		if err := l.fleet.Submit(j, submitWithin); err != nil {
 			return fmt.Errorf("standing job: %w", err)
 		}
--- a/internal/loopbacktest/upgrade_test.go
+++ b/internal/loopbacktest/upgrade_test.go
@@ -237,7 +237,7 @@
 	back := d.Controllers[1]
 	d.start(back, capped(upgrade.Version2))
 	d.eventually("refused", 20*time.Second, back.Ended)
-	if last := lastLines(d.Log(back), 1); !strings.HasPrefix(last, "sagevale: ") || !strings.Contains(last, "version 3 or later is needed") {
+	if last := lastLines(d.Log(back), 1); !strings.HasPrefix(last, "sagevale: ") || !strings.Contains(last, fmt.Sprintf("version %d or later is needed", upgrade.Current)) {
 		t.Errorf("it ends with %q", last)
 	}
 	if code := back.process.ProcessState.ExitCode(); code == 0 {
@@ -271,7 +271,7 @@
 		t.Fatal(err, out)
 	}
 	t.Log("\n" + out)
-	for _, want := range []string{"active version:", "soaking", "gang-jobs", "fenced-term", "node-2", "1 to 3", "held back by upgrade.finalize"} {
+	for _, want := range []string{"active version:", "soaking", "gang-jobs", "fenced-term", "node-2", upgrade.Supported.String(), "held back by upgrade.finalize"} {
 		if !strings.Contains(out, want) {
 			t.Errorf("%q is missing in:\n%s", want, out)
 		}
--- /dev/null
+++ b/internal/protocol/archive_properties.go
@@ -0,0 +1,37 @@
+package protocol
+
+import (
+	"strconv"
+
+	"sagevale/internal/coordination"
+)
+
+// The operators' properties on the archive of finished jobs.
+const (
+	archiveEnabledProperty = "archive.enabled"
+	archiveKeepProperty    = "archive.keep"
+	archiveMemoryProperty  = "archive.memory.mb"
+)
+
+const (
+	// mostKept bounds how many finished jobs may stay out of the archive.
+	mostKept = 10_000_000
+	// leastArchiveMB and mostArchiveMB bound the memory for the archive's pages.
+	leastArchiveMB = 0.1
+	mostArchiveMB  = 1 << 20
+)
+
+// archiveProperties adds the properties on the archive to those known.
+func (c *checker) archiveProperties(known map[string]func(string, string), tuning *coordination.ArchiveTuning) {
+	known[archiveEnabledProperty] = func(key, value string) {
+		enabled, err := strconv.ParseBool(value)
+		if err != nil {
+			c.fail(key, "must be true or false")
+		}
+		tuning.Enabled = enabled
+	}
+	known[archiveKeepProperty] = func(key, value string) { tuning.Keep = c.parseCount(key, value, 0, mostKept) }
+	known[archiveMemoryProperty] = func(key, value string) {
+		tuning.MemoryBytes = int(c.parseAmount(key, value, leastArchiveMB, mostArchiveMB) * (1 << 20))
+	}
+}
--- a/internal/protocol/properties.go
+++ b/internal/protocol/properties.go
@@ -44,6 +44,7 @@
 		headroomProperty: func(k, v string) { t.HeadroomDeviations = c.parseAmount(k, v, 0, 10) },
 	}
 	c.upgradeProperties(known, &t.Upgrade)
+	c.archiveProperties(known, &t.Archive)
 	known[deprecatedHeadroomProperty] = known[headroomProperty]
 	if _, old := p.Get(deprecatedHeadroomProperty); old {
 		s.Warnings = append(s.Warnings, fmt.Sprintf("%s: %s: is deprecated, use %s", file, deprecatedHeadroomProperty, headroomProperty))
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -270,3 +270,12 @@
 	FleetKey     = "f"
 	CatalogueKey = "c"
 )
+
+// IsFinished tells whether a job's record is that of a finished job without attempts.
+func IsFinished(r Record) (bool, error) {
+	var job JobRecord
+	if err := json.Unmarshal(r.Data, &job); err != nil {
+		return false, fmt.Errorf("record %s: %w", r.Key, err)
+	}
+	return job.Phase != Open && job.Spec == nil, nil
+}
--- a/internal/storage/schema_test.go
+++ b/internal/storage/schema_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"sagevale/internal/upgrade"
 )
 
 // laterJob is a job's record as a later version might write it.
@@ -54,7 +56,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		names := rapid.SampledFrom([]string{"n", "a", "zz", "region", "weight", "x"})
 		old := rapid.MapOf(names, rapid.IntRange(0, 99)).Draw(t, "old")
-		old[schemaField] = rapid.IntRange(4, 9).Draw(t, "schema")
+		old[schemaField] = rapid.IntRange(int(upgrade.Current)+1, 9).Draw(t, "schema")
 		raw, err := json.Marshal(old)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/storage/storagetest/service.go
+++ b/internal/storage/storagetest/service.go
@@ -55,6 +55,8 @@
 	Lose func(Txn) bool
 	// Before, if set, is called before each transaction is carried out.
 	Before func(Txn)
+	// Refuse, if set, tells which keys or prefixes aren't read.
+	Refuse func(key string) bool
 	// Late, if set, tells of each after how long it is carried out, without an answer.
 	Late func(Txn) time.Duration
 }
@@ -224,6 +226,16 @@
 	return nil
 }
 
+// mayRead tells whether a key or prefix may be read.
+func (c *Client) mayRead(key string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.Refuse != nil && c.Refuse(key) {
+		return storage.ErrRefused
+	}
+	return nil
+}
+
 func (s *Service) slow() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -235,6 +247,9 @@
 	if err := c.enter(ctx); err != nil {
 		return storage.Item{}, err
 	}
+	if err := c.mayRead(key); err != nil {
+		return storage.Item{}, err
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	it, ok := c.items[key]
@@ -249,6 +264,9 @@
 	if err := c.enter(ctx); err != nil {
 		return nil, false, 0, err
 	}
+	if err := c.mayRead(prefix); err != nil {
+		return nil, false, 0, err
+	}
 	keys := c.Keys(prefix)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -379,6 +397,9 @@
 	if err := c.enter(ctx); err != nil {
 		return nil, 0, err
 	}
+	if err := c.mayRead(prefix); err != nil {
+		return nil, 0, err
+	}
 	end := time.After(hold)
 	for {
 		c.mu.Lock()
--- a/internal/upgrade/transition.go
+++ b/internal/upgrade/transition.go
@@ -29,6 +29,7 @@
 	Known    Catalogue
 	Usage    Usage
 	Unused   map[GateName]time.Duration // for how long nothing has depended on a gate
+	Blocked  *BlockedError              // why the uses of a gate can't be undone; nil: they can
 	Policy   Policy
 	Now      time.Time
 	Term     uint64
@@ -114,7 +115,9 @@
 	if gate.Used && s.Usage == nil {
 		return wait("gate %s is being withdrawn for node %s; its uses aren't counted yet", name, node)
 	}
-	if uses := s.Usage[name]; gate.Used && uses > 0 {
+	if uses := s.Usage[name]; gate.Used && uses > 0 && s.Blocked != nil && s.Blocked.Gate == name {
+		return wait("gate %s can't be withdrawn for node %s: %s", name, node, s.Blocked.Reason)
+	} else if gate.Used && uses > 0 {
 		return wait("gate %s is being withdrawn for node %s; %d uses of it are left", name, node, uses)
 	}
 	delete(next.Gates, name)
@@ -366,6 +369,14 @@
 
 func (e *GateClosedError) Error() string { return fmt.Sprintf("gate %s is not open", e.Gate) }
 
+// BlockedError tells why what depends on a gate can't be undone for now.
+type BlockedError struct {
+	Gate   GateName
+	Reason string
+}
+
+func (e *BlockedError) Error() string { return fmt.Sprintf("gate %s: %s", e.Gate, e.Reason) }
+
 // Use notes that something is about to depend on a gate, and raises the fence with it.
 func Use(r Record, name GateName, term uint64) (Record, error) {
 	gate := r.Gate(name)
--- a/internal/upgrade/transition_test.go
+++ b/internal/upgrade/transition_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -181,7 +182,8 @@
 
 // What must not serve at all is refused in one line that says what is needed.
 func TestRefusals(t *testing.T) {
-	finalized := Record{Schema: 1, Active: 4, Minimum: 4, Phase: Finalized}
+	later := Current + 1
+	finalized := Record{Schema: 1, Active: later, Minimum: later, Phase: Finalized}
 	active := Record{Schema: 1, Active: 3, Phase: Soaking}
 	for _, c := range []struct {
 		name     string
@@ -190,7 +192,7 @@
 		policy   Policy
 		want     string
 	}{
-		{"older than finalized", finalized, Supported, Policy{}, "version 4 or later is needed"},
+		{"older than finalized", finalized, Supported, Policy{}, fmt.Sprintf("version %d or later is needed", later)},
 		{"a version skipped", Initial(), Range{3, 5}, Policy{}, "upgrade to version 3 first"},
 		{"target below the active version", active, Supported, Policy{Target: 2}, "upgrade.target: version 2 is below version 3"},
 		{"older than active only", active, Range{1, 2}, Policy{}, ""},
@@ -228,9 +230,9 @@
 	}{
 		{"hold", Policy{Hold: true, AutoFinalize: true}, 1, 0, "held back by upgrade.target"},
 		{"target", Policy{Target: 2}, 2, 0, "beyond upgrade.target 2"},
-		{"no finalization", Policy{}, 3, 0, "held back by upgrade.finalize"},
-		{"soak", Policy{AutoFinalize: true, Soak: time.Hour}, 3, 0, "soaks until"},
-		{"soaked", Policy{AutoFinalize: true}, 3, 3, ""},
+		{"no finalization", Policy{}, Current, 0, "held back by upgrade.finalize"},
+		{"soak", Policy{AutoFinalize: true, Soak: time.Hour}, Current, 0, "soaks until"},
+		{"soaked", Policy{AutoFinalize: true}, Current, Current, ""},
 	} {
 		w := newWorld(3, c.policy)
 		for _, node := range w.nodes {
--- a/internal/upgrade/version.go
+++ b/internal/upgrade/version.go
@@ -23,11 +23,13 @@
 	Version2 Version = 2
 	// Version3 registers, and obeys the cluster record.
 	Version3 Version = 3
+	// Version4 adds the archive of finished jobs.
+	Version4 Version = 4
 
 	// Baseline is active where no cluster record exists.
 	Baseline = Version1
 	// Current is this program's version.
-	Current = Version3
+	Current = Version4
 )
 
 // Range is the versions that a controller reads and writes.
@@ -58,6 +60,9 @@
 	// CompressedChunks: journal chunks may be compressed, and records written in
 	// fragments.
 	CompressedChunks GateName = "compressed-chunks"
+	// JobArchive: finished jobs may leave the journal for the archive. Whoever can't read
+	// that would take them for jobs that were never submitted.
+	JobArchive GateName = "job-archive"
 	// FencedTerm: the term record may be written in a form that keeps processes
 	// that don't register from taking the lead. It is open only while every
 	// controller registers.
@@ -80,6 +85,7 @@
 	{Name: FencedTerm, Since: Baseline},
 	{Name: CompressedChunks, Since: Version2},
 	{Name: GangJobs, Since: Version2},
+	{Name: JobArchive, Since: Version4, DependsOn: []GateName{FencedTerm}},
 }
 
 // find returns a gate by its name.
