--- a/cmd/fleetload/run.go
+++ b/cmd/fleetload/run.go
@@ -52,6 +52,8 @@
 	flags.Float64Var(&config.UrgentShare, "urgent", config.UrgentShare, "share of the short jobs that is urgent")
 	flags.IntVar(&config.Teams, "teams", config.Teams, "teams, each with a limit")
 	flags.IntVar(&config.Finished, "finished", config.Finished, "finished jobs that are stored before the start")
+	flags.IntVar(&config.Archived, "archived", config.Archived, "finished jobs that are archived before the start")
+	flags.Float64Var(&config.FinalPollsPerS, "final-polls", config.FinalPollsPerS, "polls a second for jobs that were finished before the start")
 	flags.BoolVar(&config.Archive, "archive", config.Archive, "switch the archive of finished jobs on")
 	flags.IntVar(&config.ArchiveKeep, "archive-keep", config.ArchiveKeep, "finished jobs that stay out of the archive; below 0: the default")
 	flags.DurationVar(&config.Report, "report", config.Report, "a worker's report interval")
--- a/internal/fleetload/config.go
+++ b/internal/fleetload/config.go
@@ -10,20 +10,22 @@
 
 // Config is one experiment.
 type Config struct {
-	Binary      string        `json:"-"` // the controller's program
-	Dir         string        `json:"-"` // for settings and logs
-	Controllers int           `json:"controllers"`
-	Workers     int           `json:"workers"`
-	Running     int           `json:"running"`       // standing tasks
-	PerStanding int           `json:"per_standing"`  // standing tasks of one job
-	StartsPerS  float64       `json:"starts_per_s"`  // of short tasks
-	TasksPerJob int           `json:"tasks_per_job"` // of the short ones
-	TaskTime    time.Duration `json:"task_ns"`
-	CancelShare float64       `json:"cancel_share"` // of the short jobs
-	UrgentShare float64       `json:"urgent_share"`
-	Teams       int           `json:"teams"`
-	Finished    int           `json:"finished"` // finished jobs that are stored before the start
-	Archive     bool          `json:"archive"`  // switch the archive of finished jobs on
+	Binary         string        `json:"-"` // the controller's program
+	Dir            string        `json:"-"` // for settings and logs
+	Controllers    int           `json:"controllers"`
+	Workers        int           `json:"workers"`
+	Running        int           `json:"running"`       // standing tasks
+	PerStanding    int           `json:"per_standing"`  // standing tasks of one job
+	StartsPerS     float64       `json:"starts_per_s"`  // of short tasks
+	TasksPerJob    int           `json:"tasks_per_job"` // of the short ones
+	TaskTime       time.Duration `json:"task_ns"`
+	CancelShare    float64       `json:"cancel_share"` // of the short jobs
+	UrgentShare    float64       `json:"urgent_share"`
+	Teams          int           `json:"teams"`
+	Finished       int           `json:"finished"`          // finished jobs that are stored before the start
+	Archived       int           `json:"archived"`          // finished jobs that are archived before the start
+	FinalPollsPerS float64       `json:"final_polls_per_s"` // polls a second for jobs that were over before the start
+	Archive        bool          `json:"archive"`           // switch the archive of finished jobs on
 	// ArchiveKeep is how many finished jobs stay out of the archive; below 0: the default.
 	ArchiveKeep int           `json:"archive_keep"`
 	Report      time.Duration `json:"report_ns"`
@@ -40,7 +42,7 @@
 // DefaultConfig is a small experiment.
 func DefaultConfig() Config {
 	return Config{
-		Controllers: 3, Workers: 100, Running: 500, PerStanding: 200, StartsPerS: 20, TasksPerJob: 10, TaskTime: 5 * time.Second, UrgentShare: 0.1, Teams: 4, ArchiveKeep: -1,
+		Controllers: 3, Workers: 100, Running: 500, PerStanding: 200, StartsPerS: 20, TasksPerJob: 10, TaskTime: 5 * time.Second, UrgentShare: 0.1, Teams: 4, FinalPollsPerS: 10, ArchiveKeep: -1,
 		Report: 3 * time.Second, Lease: 22 * time.Second, Fill: 5 * time.Minute, Duration: 30 * time.Second, Seed: 1, MemoryMB: 512, ChangesPerS: 500,
 		LogLevel: "info",
 	}
@@ -81,6 +83,9 @@
 		{c.UrgentShare < 0 || c.UrgentShare > 1, "urgent", "must be from 0 to 1"},
 		{c.Teams < 1, "teams", "must be above 0"},
 		{c.Finished < 0, "finished", "must not be negative"},
+		{c.Archived < 0, "archived", "must not be negative"},
+		{c.Archived > 0 && !c.Archive, "archived", "needs --archive"},
+		{c.FinalPollsPerS < 0, "final-polls", "must not be negative"},
 		{c.Duration <= 0, "duration", "must be above 0"},
 		{c.Report <= 0, "report", "must be above 0"},
 		{c.Lease <= c.Report, "lease", "must be longer than --report"},
--- a/internal/fleetload/experiment.go
+++ b/internal/fleetload/experiment.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"sagevale/internal/loopbacktest"
-	"sagevale/internal/storage"
 	"sagevale/internal/storage/storagetest"
 )
 
@@ -102,46 +101,6 @@
 	return nil
 }
 
-// seed stores finished jobs as an earlier leader's journal holds them.
-func (e *Experiment) seed() error {
-	room := int(e.fleet.State.Store.ValueBytes * 9 / 10)
-	var records []storage.Record
-	size, chunk := 2, 1
-	flush := func() error {
-		if len(records) == 0 {
-			return nil
-		}
-		data, err := storage.EncodeChunk(records)
-		if err != nil {
-			return err
-		}
-		_, err = e.fleet.State.Store.Apply(nil, []storage.Op{{Key: storage.ChunkKey(uint64(chunk)), Data: data}})
-		records, size, chunk = nil, 2, chunk+1
-		return err
-	}
-	for i := range e.config.Finished {
-		r, err := storage.NewRecord(storage.JobKey(finishedID(i)), storage.JobRecord{Phase: storage.Done, Tasks: 10, AtMS: time.Now().UnixMilli(), DoneOf: 10})
-		if err != nil {
-			return err
-		}
-		if size += len(r.Key) + len(r.Data) + 8; size > room {
-			if err := flush(); err != nil {
-				return err
-			}
-			size += len(r.Key) + len(r.Data) + 8
-		}
-		records = append(records, r)
-	}
-	return flush()
-}
-
-// finishedID is the id, without its prefix, of a finished job that is stored before the start.
-func finishedID(i int) string { return fmt.Sprintf("%09d", scatter(i)) }
-
-// scatter spreads consecutive numbers over those below firstID: ids come in no order. The
-// multiplier is prime to firstID, so no two numbers meet.
-func scatter(i int) int { return int(int64(i+1) * 387_420_489 % firstID) }
-
 // fill waits until the standing tasks run.
 func (e *Experiment) fill(ctx context.Context) error {
 	began := time.Now()
@@ -185,6 +144,7 @@
 		defer close(faults)
 		e.bringAbout(lctx, began)
 	}()
+	go e.load.pollFinished(lctx)
 	e.load.churn(lctx)
 	<-faults
 	took := time.Since(began).Seconds()
@@ -293,7 +253,7 @@
 	l.note(func() {
 		r.Submitted, r.DoneJobs, r.CancelledJobs, r.NotOffered, r.FailedRequests = l.submitted, l.doneJobs, l.cancelled, l.notOffered, l.failed
 		r.Broken = append(r.Broken, l.broken...)
-		r.Latencies = map[string]Quantiles{"submit to accepted": quantiles(l.submitTime), "poll": quantiles(l.pollTime)}
+		r.Latencies = map[string]Quantiles{"submit to accepted": quantiles(l.submitTime), "poll": quantiles(l.pollTime), "poll, finished before": quantiles(l.finalPollTime)}
 	})
 	for class, h := range e.fleet.Workers.StartDelays() {
 		r.Latencies["accepted to start, "+string(class)] = quantiles(h)
@@ -303,6 +263,7 @@
 		r.Broken = append(r.Broken, fault.String())
 	}
 	r.Present = e.fleet.Workers.Counts().Present
+	r.LeaderHeapMB = leaderHeapMB(e.fleet)
 	r.TakeOverLoads = takeOverLoads(e.fleet)
 	r.State.StoredKB, r.State.StoredKeys = e.fleet.State.Stored()
 }
--- a/internal/fleetload/load.go
+++ b/internal/fleetload/load.go
@@ -33,21 +33,22 @@
 	users  chan struct{}
 	wait   sync.WaitGroup
 
-	mu         sync.Mutex
-	submitTime *hdrhistogram.Histogram
-	pollTime   *hdrhistogram.Histogram
-	submitted  int
-	notOffered int
-	failed     int
-	doneJobs   int
-	cancelled  int
-	broken     []string // answers that break a rule
+	mu            sync.Mutex
+	submitTime    *hdrhistogram.Histogram
+	pollTime      *hdrhistogram.Histogram
+	finalPollTime *hdrhistogram.Histogram // for jobs that were over before the start
+	submitted     int
+	notOffered    int
+	failed        int
+	doneJobs      int
+	cancelled     int
+	broken        []string // answers that break a rule
 }
 
 func newLoad(f *loopbacktest.Fleet, c *Config) *load {
 	return &load{
 		fleet: f, config: c, random: rand.New(rand.NewPCG(c.Seed, 1)), next: 1, users: make(chan struct{}, mostUsers),
-		submitTime: hdrhistogram.New(1, mostLatency, 3), pollTime: hdrhistogram.New(1, mostLatency, 3),
+		submitTime: hdrhistogram.New(1, mostLatency, 3), pollTime: hdrhistogram.New(1, mostLatency, 3), finalPollTime: hdrhistogram.New(1, mostLatency, 3),
 	}
 }
 
@@ -175,6 +176,30 @@
 	return true
 }
 
+// pollFinished asks for jobs that were over before the start, and for one that nobody submitted now and then.
+func (l *load) pollFinished(ctx context.Context) {
+	stored := l.config.Finished + l.config.Archived
+	if stored == 0 || l.config.FinalPollsPerS == 0 {
+		return
+	}
+	random := rand.New(rand.NewPCG(l.config.Seed, 2))
+	for sleep(ctx, time.Duration(float64(time.Second)/l.config.FinalPollsPerS)) {
+		i := random.IntN(stored + stored/10 + 1)
+		began := time.Now()
+		s, err := l.fleet.Poll("job-" + finishedID(i))
+		switch known := i < stored; {
+		case err != nil:
+			l.note(func() { l.failed++ })
+		case known && s.Standing != "done":
+			l.breaks("went_back: job-%s, which was done, is answered %d %q", finishedID(i), s.Status, s.Standing)
+		case !known && s.Status != http.StatusNotFound:
+			l.breaks("invented: job-%s is answered %d %q", finishedID(i), s.Status, s.Standing)
+		default:
+			l.note(func() { _ = l.finalPollTime.RecordValue(min(max(time.Since(began).Microseconds(), 1), mostLatency)) })
+		}
+	}
+}
+
 func (l *load) breaks(format string, args ...any) {
 	l.note(func() { l.broken = append(l.broken, fmt.Sprintf(format, args...)) })
 }
--- a/internal/fleetload/result.go
+++ b/internal/fleetload/result.go
@@ -7,6 +7,7 @@
 	"regexp"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -32,9 +33,10 @@
 	State          StateFigures                         `json:"state"`
 	Traffic        map[loopbacktest.Kind]TrafficFigures `json:"traffic"`
 	Latencies      map[string]Quantiles                 `json:"latencies"`
-	TakeOverS      []float64                            `json:"take_over_s"`       // from the kill to the first answer
-	TakeOverLoads  []float64                            `json:"take_over_load_ms"` // what leaders logged of loading the state
-	Broken         []string                             `json:"broken"`            // rules
+	TakeOverS      []float64                            `json:"take_over_s"`              // from the kill to the first answer
+	TakeOverLoads  []float64                            `json:"take_over_load_ms"`        // what leaders logged of loading the state
+	LeaderHeapMB   float64                              `json:"leader_heap_mb,omitempty"` // live, as the last leader logged it at debug; 0: it didn't
+	Broken         []string                             `json:"broken"`                   // rules
 }
 
 // RoleFigures is what the process of a role spends.
@@ -128,6 +130,23 @@
 // tookOver finds what leaders log of a take-over.
 var tookOver = regexp.MustCompile(`msg=take-over .* took=(\S+)`)
 
+// liveHeap finds what a leader logs of its heap.
+var liveHeap = regexp.MustCompile(`msg=usage .*heap_live_mb=(\S+) .*role=leader`)
+
+// leaderHeapMB is the live heap that the present leader logged last; 0: it logged none.
+func leaderHeapMB(f *loopbacktest.Fleet) (mb float64) {
+	leader := f.Leader()
+	if leader == nil {
+		return 0
+	}
+	for _, match := range liveHeap.FindAllStringSubmatch(f.Log(leader), -1) {
+		if live, err := strconv.ParseFloat(match[1], 64); err == nil {
+			mb = live
+		}
+	}
+	return mb
+}
+
 // takeOverLoads are the times that leaders logged of loading the state, in milliseconds.
 func takeOverLoads(f *loopbacktest.Fleet) (loads []float64) {
 	for _, c := range f.Controllers {
@@ -156,7 +175,8 @@
 	fmt.Fprintf(w, "jobs accepted, done, cancelled, not offered\t%d, %d, %d, %d\n", r.Submitted, r.DoneJobs, r.CancelledJobs, r.NotOffered)
 	fmt.Fprintf(w, "requests that failed\t%d\n", r.FailedRequests)
 	fmt.Fprintf(w, "take-overs, s until answered\t%.3f\n", r.TakeOverS)
-	fmt.Fprintf(w, "state loaded, ms\t%.1f\n\n", r.TakeOverLoads)
+	fmt.Fprintf(w, "state loaded, ms\t%.1f\n", r.TakeOverLoads)
+	fmt.Fprintf(w, "leader's live heap, MB\t%.1f\n\n", r.LeaderHeapMB)
 	fmt.Fprintln(w, "ROLE\tCORES\tMB\tPEAK MB\tFILES")
 	for _, role := range sorted(r.Roles) {
 		f := r.Roles[role]
