Placement searches once a job, not once a task

Change: the best candidates for a job are kept from task to task within a round and brought up to date by what was booked.

--- a/internal/archive/index.go
+++ b/internal/archive/index.go
@@ -1,6 +1,7 @@
 package archive
 
 import (
+	"cmp"
 	"slices"
 	"sync/atomic"
 
@@ -64,7 +65,7 @@
 func (x *Index) Lookup(rank Rank) Result { return x.current.Load().lookup(rank) }
 
 func (s *snapshot) lookup(rank Rank) Result {
-	i, _ := slices.BinarySearchFunc(s.pages, rank, func(p *heldPage, r Rank) int { return compare(p.upper, r) })
+	i, _ := slices.BinarySearchFunc(s.pages, rank, func(p *heldPage, r Rank) int { return cmp.Compare(p.upper, r) })
 	switch {
 	case len(s.pages) == 0 && s.complete:
 		return Result{Knowledge: Absent, Term: s.term}
@@ -105,7 +106,7 @@
 func (x *Index) put(pages []*heldPage) {
 	x.edit(func(s *snapshot) {
 		for _, p := range pages {
-			i, there := slices.BinarySearchFunc(s.pages, p.upper, func(held *heldPage, r Rank) int { return compare(held.upper, r) })
+			i, there := slices.BinarySearchFunc(s.pages, p.upper, func(held *heldPage, r Rank) int { return cmp.Compare(held.upper, r) })
 			switch {
 			case !there:
 				s.pages = slices.Insert(s.pages, i, p)
--- a/internal/archive/keeper_test.go
+++ b/internal/archive/keeper_test.go
@@ -1,6 +1,7 @@
 package archive
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -158,7 +159,7 @@
 		}
 		for _, id := range edgeIDs[2:] {
 			rank, _ := RankOf(id)
-			if _, there := slices.BinarySearchFunc(all, rank, func(e Entry, r Rank) int { return compare(e.Rank, r) }); !there {
+			if _, there := slices.BinarySearchFunc(all, rank, func(e Entry, r Rank) int { return cmp.Compare(e.Rank, r) }); !there {
 				f.wants(later, rank, Absent, Final{})
 			}
 		}
@@ -590,6 +591,29 @@
 	}
 }
 
+// The end of an earlier term doesn't end the present one; after that one's end the keeper follows again.
+func TestTermsEnd(t *testing.T) {
+	inFixture(t, func(f *fixture) {
+		k, other := f.keeper(true), f.keeper(false)
+		first := f.lead(k)
+		second := f.lead(k)
+		k.End(context.Background(), first.Term)
+		all := jobs(30)
+		f.offer(k, all[:10])
+		time.Sleep(time.Minute)
+		k.End(context.Background(), second.Term)
+		f.lead(other)
+		f.offer(other, all[10:])
+		time.Sleep(time.Minute)
+		if r := k.Index.Lookup(all[29].Rank); r.Knowledge != Found {
+			t.Errorf("it doesn't follow: %+v", r)
+		}
+		if ranks, err := k.Offer(context.Background(), all[:1]); err == nil {
+			t.Errorf("it archives %v", ranks)
+		}
+	})
+}
+
 // Without a lead a keeper that doesn't follow asks the state service nothing.
 func TestAnIdleKeeperAsksNothing(t *testing.T) {
 	inFixture(t, func(f *fixture) {
@@ -644,7 +668,7 @@
 	for rank, final := range h.table {
 		entries = append(entries, Entry{rank, final})
 	}
-	slices.SortFunc(entries, func(a, b Entry) int { return compare(a.Rank, b.Rank) })
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Rank, b.Rank) })
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	ranks, err := h.leader.Offer(ctx, entries)
--- a/internal/archive/move.go
+++ b/internal/archive/move.go
@@ -1,6 +1,7 @@
 package archive
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -85,11 +86,11 @@
 		return nil, entries
 	}
 	for len(entries) > 0 {
-		i, _ := slices.BinarySearchFunc(pages, entries[0].Rank, func(p *heldPage, r Rank) int { return compare(p.upper, r) })
+		i, _ := slices.BinarySearchFunc(pages, entries[0].Rank, func(p *heldPage, r Rank) int { return cmp.Compare(p.upper, r) })
 		if i == len(pages) {
 			break // the last page is missing
 		}
-		end, _ := slices.BinarySearchFunc(entries, pages[i].upper+1, func(e Entry, r Rank) int { return compare(e.Rank, r) })
+		end, _ := slices.BinarySearchFunc(entries, pages[i].upper+1, func(e Entry, r Rank) int { return cmp.Compare(e.Rank, r) })
 		if covers := !pages[i].damaged && entries[0].Rank > pages[i].lower; covers && end > len(group) {
 			page, group = pages[i], entries[:end]
 		}
--- a/internal/archive/page_test.go
+++ b/internal/archive/page_test.go
@@ -1,6 +1,7 @@
 package archive
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -54,7 +55,7 @@
 		}
 		entries = append(entries, Entry{rank, Final{rapid.Bool().Draw(t, "cancelled"), rapid.IntRange(0, 100_000).Draw(t, "done")}})
 	}
-	slices.SortFunc(entries, func(a, b Entry) int { return compare(a.Rank, b.Rank) })
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Rank, b.Rank) })
 	return slices.CompactFunc(entries, func(a, b Entry) bool { return a.Rank == b.Rank })
 }
 
--- a/internal/archive/split.go
+++ b/internal/archive/split.go
@@ -1,6 +1,7 @@
 package archive
 
 import (
+	"cmp"
 	"slices"
 
 	"sagevale/internal/storage"
@@ -51,7 +52,7 @@
 		taken++
 	}
 	for i := range entries[:taken] {
-		at, there := slices.BinarySearchFunc(merged, entries[i].Rank, func(e Entry, r Rank) int { return compare(e.Rank, r) })
+		at, there := slices.BinarySearchFunc(merged, entries[i].Rank, func(e Entry, r Rank) int { return cmp.Compare(e.Rank, r) })
 		if !there {
 			merged = slices.Insert(merged, at, entries[i])
 		}
@@ -59,16 +60,6 @@
 	return merged, taken
 }
 
-func compare(a, b Rank) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // packedSize is what a page takes.
 func packedSize(p *Page) int {
 	size, before := frameBytes, p.Lower
--- /dev/null
+++ b/internal/coordination/archiving_bench_test.go
@@ -0,0 +1,97 @@
+package coordination
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"sagevale/internal/archive"
+	"sagevale/internal/storage"
+	"sagevale/internal/storage/storagetest"
+)
+
+// finishedJobs is how many finished jobs the benchmarks hold: those of one day of a large fleet.
+const finishedJobs = 190_000
+
+// liveHeap is what is in use after a collection.
+func liveHeap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func finishedJobID(i int) string { return fmt.Sprintf("%09d", (i+1)*387_420_489%500_000_000) }
+
+// BenchmarkFinishedInTheJournal loads final records into a leader's table.
+func BenchmarkFinishedInTheJournal(b *testing.B) {
+	records := make([]storage.Record, 0, finishedJobs)
+	for i := range finishedJobs {
+		r, err := storage.NewRecord(storage.JobKey(finishedJobID(i)), storage.JobRecord{Phase: storage.Done, Tasks: 10, AtMS: 1_796_000_000_000, DoneOf: 10})
+		if err != nil {
+			b.Fatal(err)
+		}
+		records = append(records, r)
+	}
+	for b.Loop() {
+		d := newTestDispatcher(b, grownSettings())
+		before := liveHeap()
+		began := time.Now()
+		if err := d.load(records); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(time.Since(began).Nanoseconds())/finishedJobs, "ns/job")
+		b.ReportMetric(float64(liveHeap()-before)/finishedJobs, "heap-B/job")
+		runtime.KeepAlive(d)
+	}
+}
+
+// BenchmarkFinishedInTheArchive loads pages into a node's index.
+func BenchmarkFinishedInTheArchive(b *testing.B) {
+	limits := storage.Limits{RequestsPerS: 1e6, ChangesPerS: 1e6, ValueBytes: 8192, TxnOps: 32}
+	service := storagetest.NewService()
+	bytes := seedPages(b, service, &limits)
+	for b.Loop() {
+		before := liveHeap()
+		began := time.Now()
+		k := archive.NewKeeper(&storagetest.Client{Service: service}, storage.NewLimitTracker(limits),
+			archive.Settings{Refresh: time.Hour, CallTime: time.Minute, MemoryBytes: 1 << 30, Follow: true}, slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(b.Context())
+		go k.Run(ctx)
+		for !k.Index.Stats().Complete {
+			time.Sleep(time.Millisecond)
+		}
+		b.ReportMetric(float64(time.Since(began).Nanoseconds())/finishedJobs, "ns/job")
+		cancel()
+		b.ReportMetric(float64(liveHeap()-before)/finishedJobs, "heap-B/job")
+		b.ReportMetric(float64(bytes)/finishedJobs, "stored-B/job")
+		runtime.KeepAlive(k)
+	}
+}
+
+// seedPages stores an archive, and returns how many bytes it takes.
+func seedPages(b *testing.B, service *storagetest.Service, limits *storage.Limits) (bytes int) {
+	entries := make([]archive.Entry, 0, finishedJobs)
+	for i := range finishedJobs {
+		rank, _ := archive.RankOf(finishedJobID(i))
+		entries = append(entries, archive.Entry{Rank: rank, Final: archive.Final{Done: 10}})
+	}
+	slices.SortFunc(entries, func(a, b archive.Entry) int { return cmp.Compare(a.Rank, b.Rank) })
+	ops, err := archive.Build(entries, limits)
+	if err == nil {
+		_, err = service.Apply(nil, ops)
+	}
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, op := range ops {
+		bytes += len(op.Key) + len(op.Data)
+	}
+	return bytes
+}
--- a/internal/coordination/archiving_test.go
+++ b/internal/coordination/archiving_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"sagevale/internal/archive"
@@ -765,3 +766,27 @@
 		}
 	}
 }
+
+// A page that was read in another term, or not at all, is no proof that a job isn't archived: the term of whoever asks may
+// be over.
+func TestAPageOfAnotherTermIsNoProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(t, grownSettings())
+		for _, c := range []struct {
+			result archive.Result
+			want   Code
+		}{
+			{archive.Result{Knowledge: archive.Absent, Term: d.term + 1}, CodeUnavailable},
+			{archive.Result{Knowledge: archive.Absent}, CodeUnavailable},
+			{archive.Result{}, CodeUnavailable},
+			{archive.Result{Knowledge: archive.Absent, Term: d.term}, CodeNotFound},
+			{archive.Result{Knowledge: archive.Found, Final: archive.Final{Done: 1}}, CodeOK},
+		} {
+			reply := make(chan Answer, 1)
+			d.handleArchiveRead(archiveReadMsg{user: userMsg{req: UserRequest{Op: OpPoll, ID: "000001"}, reply: reply}, result: c.result})
+			if a := <-reply; a.Code != c.want {
+				t.Errorf("%+v is answered %+v", c.result, a)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/job_table_test.go
@@ -0,0 +1,73 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sagevale/internal/archive"
+	"sagevale/internal/storage"
+)
+
+// Whatever happens to jobs, the table holds those that aren't removed, counts the tasks of the open ones, and lists the
+// finished ones in order, each of them within one round.
+func TestJobTable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := newJobTable()
+		tasks := make(map[string]int) // of jobs that are open
+		finished := make(map[string]bool)
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := fmt.Sprintf("%06d", rapid.IntRange(0, 20).Draw(t, "id"))
+			rank, _ := archive.RankOf(id)
+			j := table.get(id)
+			switch step := rapid.IntRange(0, 3).Draw(t, "step"); {
+			case j == nil:
+				j = newJob(storage.Spec{ID: id, Tasks: 1 + i%4}, time.Now())
+				table.insert(j)
+				tasks[id] = j.spec.Tasks
+			case step < 2 && tasks[id] > 0:
+				table.release(j)
+				j.phase = storage.Done
+				delete(tasks, id)
+				table.finish(j)
+				finished[id] = true
+			case step == 2:
+				removed := table.remove(rank)
+				if (removed != nil) != finished[id] || removed != nil && removed != j {
+					t.Fatalf("%s is removed as %v", id, removed)
+				}
+				delete(finished, id)
+			}
+		}
+		open := 0
+		for _, n := range tasks {
+			open += n
+		}
+		if table.openTasks != open || len(table.open) != len(tasks) || table.count() != len(tasks)+len(finished) || table.finished.Len() != len(finished) {
+			t.Fatalf("%d tasks of %d open jobs, %d jobs, %d finished", table.openTasks, len(table.open), table.count(), table.finished.Len())
+		}
+		checkRound(t, table, finished)
+	})
+}
+
+// checkRound lists finished jobs, a few at a time, until each has been listed.
+func checkRound(t *rapid.T, table *jobTable, finished map[string]bool) {
+	most := rapid.IntRange(1, 7).Draw(t, "most")
+	listed := make(map[string]bool)
+	table.next = 0
+	for range len(finished)/most + 1 {
+		before := archive.Rank(0)
+		for _, e := range table.nextFinished(most) {
+			if e.Rank <= before || !finished[e.Rank.ID()] {
+				t.Fatalf("%s is listed out of order, or isn't finished", e.Rank.ID())
+			}
+			before = e.Rank
+			listed[e.Rank.ID()] = true
+		}
+	}
+	if len(listed) != len(finished) {
+		t.Fatalf("%d of %d are listed", len(listed), len(finished))
+	}
+}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -79,14 +79,16 @@
 // placeJob places what it can of a job's tasks, or makes room for them.
 func (d *dispatcher) placeJob(j *job, r *round) {
 	zones := newZoneCheck(j)
+	best := shortlist{job: j, round: r, zones: &zones}
 	for n := j.tries(); n > 0 && len(r.booked) < scanLimit; n-- {
 		task, ok := j.nextWaiting()
 		if !ok || !d.withinLimit(j) {
 			return
 		}
-		if s := d.choose(j, r, &zones); s != nil {
+		if s := d.choose(&best); s != nil {
 			r.booked = append(r.booked, d.bookOn(j, task, s, r.now))
 			zones.add(s.zone, 1)
+			d.booked(&best, s)
 			continue
 		}
 		zone, ok := d.preempt(j, r, &zones)
@@ -152,35 +154,6 @@
 	return (!s.spot || j.spec.Spot) && s.zone != "" && allowed(j.spec.Types, s.kind) && zones.allows(s.zone)
 }
 
-// choose picks a machine by the power of two choices among the best kind of
-// eligible machines.
-func (d *dispatcher) choose(j *job, r *round, zones *zoneCheck) *candidate {
-	sh := j.shape()
-	from := r.exhausted.from(sh, zones, r.zones)
-	if from >= len(r.candidates) {
-		return nil
-	}
-	var best []*candidate
-	tier := 0
-	for _, s := range r.candidates[from:] {
-		if !j.spec.Room.Fits(s.free) || !s.admits(j, zones) {
-			continue
-		}
-		t := d.tier(j, s)
-		switch {
-		case best == nil || t < tier:
-			best, tier = append(best[:0], s), t
-		case t == tier:
-			best = append(best, s)
-		}
-	}
-	if len(best) == 0 {
-		r.exhausted.note(sh, zones, r.zones, len(r.candidates))
-		return nil
-	}
-	return d.sample(j, best)
-}
-
 // sample returns the better of two random candidates: the fuller, to pack.
 func (d *dispatcher) sample(j *job, candidates []*candidate) *candidate {
 	pick := candidates[d.rand.IntN(len(candidates))]
--- a/internal/coordination/scale_test.go
+++ b/internal/coordination/scale_test.go
@@ -209,7 +209,7 @@
 		}
 		added := candidateOf(d.up(200, "cpu", "a", false))
 		r.candidates = append(r.candidates, &added)
-		if s := d.choose(j, r, &zones); s == nil || s.on.id != 200 {
+		if s := d.choose(&shortlist{job: j, round: r, zones: &zones}); s == nil || s.on.id != 200 {
 			t.Error("the slot that was added isn't found")
 		}
 	})
