Status commands share their frame; fleetload's ids come in no order

Cause: two commands stood twice (duplicates), and ids in sequence flattered the archive. Change: cmd/sagevale/status.go builds both; stored jobs have even ids, submitted ones odd ones, spread over the range.

--- a/cmd/sagevale/archive.go
+++ b/cmd/sagevale/archive.go
@@ -6,41 +6,22 @@
 	"io"
 	"text/tabwriter"
 
-	"github.com/spf13/cobra"
-
 	"sagevale/internal/coordination"
-	"sagevale/internal/transport"
+	"sagevale/internal/storage"
 )
 
-// newArchiveCommand makes the operators' commands on the archive of finished jobs.
-func newArchiveCommand(load func(*cobra.Command) (*coordination.Settings, error)) *cobra.Command {
-	cmd := &cobra.Command{
-		Use:   "archive",
-		Short: "Tell where the archive of finished jobs stands",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return fmt.Errorf("archive: a command is missing, such as %s status", cmd.CommandPath())
-		},
-	}
-	cmd.AddCommand(&cobra.Command{
-		Use:   "status --config FILE",
-		Short: "Read the archive's pages, its backlog in the journal and its gate from the state service",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			settings, err := load(cmd)
-			if err != nil {
-				return err
-			}
-			ctx, cancel := context.WithTimeout(cmd.Context(), statusTimeout)
-			defer cancel()
-			status, err := coordination.ReadArchiveStatus(ctx, transport.NewStateClient(settings.StateAddr), settings)
-			if err != nil {
-				return fmt.Errorf("archive status: %w", err)
-			}
-			return writeArchiveStatus(cmd.OutOrStdout(), status)
-		},
-	})
-	return cmd
+// archiveStatus is the operators' command on the archive of finished jobs.
+var archiveStatus = statusCommand{
+	subject: "archive",
+	short:   "Tell where the archive of finished jobs stands",
+	status:  "Read the archive's pages, its backlog in the journal and its gate from the state service",
+	write: func(ctx context.Context, svc storage.StateService, settings *coordination.Settings, out io.Writer) error {
+		status, err := coordination.ReadArchiveStatus(ctx, svc, settings)
+		if err != nil {
+			return err
+		}
+		return writeArchiveStatus(out, status)
+	},
 }
 
 // writeArchiveStatus writes a status for people.
--- a/cmd/sagevale/upgrade.go
+++ b/cmd/sagevale/upgrade.go
@@ -6,46 +6,23 @@
 	"io"
 	"strings"
 	"text/tabwriter"
-	"time"
-
-	"github.com/spf13/cobra"
 
 	"sagevale/internal/coordination"
-	"sagevale/internal/transport"
+	"sagevale/internal/storage"
 )
 
-// statusTimeout is how long the state service may take for all of a status.
-const statusTimeout = 10 * time.Second
-
-// newUpgradeCommand makes the operators' commands on upgrades.
-func newUpgradeCommand(load func(*cobra.Command) (*coordination.Settings, error)) *cobra.Command {
-	upgrade := &cobra.Command{
-		Use:   "upgrade",
-		Short: "Tell where an upgrade of the controllers stands",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return fmt.Errorf("upgrade: a command is missing, such as %s status", cmd.CommandPath())
-		},
-	}
-	upgrade.AddCommand(&cobra.Command{
-		Use:   "status --config FILE",
-		Short: "Read the active version, the gates and each controller's versions from the state service",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			settings, err := load(cmd)
-			if err != nil {
-				return err
-			}
-			ctx, cancel := context.WithTimeout(cmd.Context(), statusTimeout)
-			defer cancel()
-			status, err := coordination.ReadUpgradeStatus(ctx, transport.NewStateClient(settings.StateAddr), settings)
-			if err != nil {
-				return fmt.Errorf("upgrade status: %w", err)
-			}
-			return writeStatus(cmd.OutOrStdout(), status)
-		},
-	})
-	return upgrade
+// upgradeStatus is the operators' command on upgrades.
+var upgradeStatus = statusCommand{
+	subject: "upgrade",
+	short:   "Tell where an upgrade of the controllers stands",
+	status:  "Read the active version, the gates and each controller's versions from the state service",
+	write: func(ctx context.Context, svc storage.StateService, settings *coordination.Settings, out io.Writer) error {
+		status, err := coordination.ReadUpgradeStatus(ctx, svc, settings)
+		if err != nil {
+			return err
+		}
+		return writeStatus(out, status)
+	},
 }
 
 // writeStatus writes a status for people.
--- a/internal/archive/keeper_test.go
+++ b/internal/archive/keeper_test.go
@@ -96,6 +96,15 @@
 	f.tb.Fatalf("%d jobs aren't archived", len(entries))
 }
 
+// archived starts a leader's keeper and archives so many jobs.
+func (f *fixture) archived(n int) (*Keeper, []Entry) {
+	f.tb.Helper()
+	k, all := f.keeper(false), jobs(n)
+	f.lead(k)
+	f.offer(k, all)
+	return k, all
+}
+
 func (f *fixture) read(k *Keeper, rank Rank) (Result, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
@@ -294,10 +303,7 @@
 // A damaged page is told as such for its range alone, and nothing is put into it.
 func TestADamagedPageHarmsNoOther(t *testing.T) {
 	inFixture(t, func(f *fixture) {
-		k := f.keeper(false)
-		f.lead(k)
-		all := jobs(600)
-		f.offer(k, all)
+		_, all := f.archived(600)
 		pages := f.store.Keys(prefix)
 		broken := pages[len(pages)/2]
 		if _, err := f.store.Apply(nil, []storage.Op{{Key: broken, Data: []byte(`"AAAA"`)}, {Key: prefix + "stray", Data: []byte(`{}`)}}); err != nil {
@@ -344,10 +350,7 @@
 // A page that is missing is not a range without jobs.
 func TestAMissingPageIsNoProof(t *testing.T) {
 	inFixture(t, func(f *fixture) {
-		k := f.keeper(false)
-		f.lead(k)
-		all := jobs(600)
-		f.offer(k, all)
+		_, all := f.archived(600)
 		pages := f.store.Keys(prefix)
 		for _, missing := range []string{pages[2], pages[len(pages)-1]} {
 			if _, err := f.store.Apply(nil, []storage.Op{{Key: missing, Delete: true}}); err != nil {
--- a/internal/fleetload/experiment.go
+++ b/internal/fleetload/experiment.go
@@ -225,7 +225,7 @@
 	if len(controllers) == len(e.fleet.Controllers) {
 		e.restart(controllers)
 	}
-	probe := fmt.Sprintf("/v1/jobs/job-%09d", firstID+1) // the first job that was submitted
+	probe := "/v1/jobs/job-" + submittedID(firstJob)
 	for ctx.Err() == nil {
 		if _, err := e.fleet.Insist("GET", probe, nil, time.Second); err == nil {
 			break
--- a/internal/fleetload/fleetload_test.go
+++ b/internal/fleetload/fleetload_test.go
@@ -73,15 +73,16 @@
 	}
 }
 
-// Numbers of finished jobs differ, and lie below those of submitted ones.
-func TestFinishedIDs(t *testing.T) {
-	seen := make(map[int]bool)
+// All ids differ, those of jobs that are stored before the start from those of submitted ones too.
+func TestIDsDiffer(t *testing.T) {
+	seen := make(map[string]bool)
 	for i := range 200_000 {
-		n := scatter(i)
-		if n < 0 || n >= firstID || seen[n] {
-			t.Fatalf("number %d: %d", i, n)
+		for _, id := range []string{finishedID(i), submittedID(i)} {
+			if len(id) != 9 || seen[id] {
+				t.Fatalf("number %d: %s", i, id)
+			}
+			seen[id] = true
 		}
-		seen[n] = true
 	}
 }
 
--- a/internal/fleetload/load.go
+++ b/internal/fleetload/load.go
@@ -47,16 +47,16 @@
 
 func newLoad(f *loopbacktest.Fleet, c *Config) *load {
 	return &load{
-		fleet: f, config: c, random: rand.New(rand.NewPCG(c.Seed, 1)), next: 1, users: make(chan struct{}, mostUsers),
+		fleet: f, config: c, random: rand.New(rand.NewPCG(c.Seed, 1)), next: firstJob, users: make(chan struct{}, mostUsers),
 		submitTime: hdrhistogram.New(1, mostLatency, 3), pollTime: hdrhistogram.New(1, mostLatency, 3), finalPollTime: hdrhistogram.New(1, mostLatency, 3),
 	}
 }
 
-// firstID is the number of the first job that is submitted: stored jobs have those below it.
-const firstID = 500_000_000
+// firstJob numbers the first job that is submitted.
+const firstJob = 1
 
 func (l *load) newJob(shape string, tasks int) loopbacktest.Job {
-	id := fmt.Sprintf("job-%09d", firstID+l.next)
+	id := "job-" + submittedID(l.next)
 	team := teamName(l.next % l.config.Teams)
 	l.next++
 	return loopbacktest.Job{ID: id, Shape: shape, Tasks: tasks, Run: l.config.TaskTime, Team: team, CPUs: 1}
--- a/internal/fleetload/seed.go
+++ b/internal/fleetload/seed.go
@@ -99,9 +99,17 @@
 	return err
 }
 
+// Ids come in no order: consecutive numbers are spread over idRange by a multiplier that is prime to it, so that no
+// two meet. Jobs that are stored before the start have the even ones, and those that are submitted the odd ones.
+const (
+	idRange      = 500_000_000
+	idMultiplier = 387_420_489
+)
+
+func scatter(i int) int { return int(int64(i+1) * idMultiplier % idRange) }
+
 // finishedID is the id, without its prefix, of a finished job that is stored before the start.
-func finishedID(i int) string { return fmt.Sprintf("%09d", scatter(i)) }
+func finishedID(i int) string { return fmt.Sprintf("%09d", 2*scatter(i)) }
 
-// scatter spreads consecutive numbers over those below firstID: ids come in no order. The
-// multiplier is prime to firstID, so no two numbers meet.
-func scatter(i int) int { return int(int64(i+1) * 387_420_489 % firstID) }
+// submittedID is the same of a job that is submitted.
+func submittedID(i int) string { return fmt.Sprintf("%09d", 2*scatter(i)+1) }
