Archive: races of an offer with a withdrawal and a release; stale keepers load again

Change: nothing is brought back, and the gate counts as used, while an offer is under way. A keeper that hasn't heard of changes for long loads all pages instead of asking for the changes, whose answer has no bound. A question that nobody waits for isn't read. A take-over doesn't wait for a request of the archive. Each has a test.

--- a/internal/archive/keeper.go
+++ b/internal/archive/keeper.go
@@ -22,6 +22,9 @@
 	queueSize = 64
 	// loadRest is the least pause between two steps of a load, in durations of one.
 	loadRest = 10
+	// staleRefreshes is for how many refreshes changes are asked for: beyond that the answer could be larger than
+	// all pages, and they are loaded again.
+	staleRefreshes = 8
 	// loadPages is how many pages one step of a load reads at the most, as the protocol has it.
 	loadPages = 1000
 )
@@ -57,9 +60,10 @@
 	writes   *rate.Limiter
 	in       chan request
 
-	lead       *Lead  // nil: another controller leads
-	revision   uint64 // of the state service, up to which changes are known
-	loading    bool   // the pages are being read, after cursor
+	lead       *Lead     // nil: another controller leads
+	revision   uint64    // of the state service, up to which changes are known
+	caughtUp   time.Time // when that was
+	loading    bool      // the pages are being read, after cursor
 	cursor     string
 	seen       map[Rank]bool // pages that the load has seen
 	loadedFrom uint64        // the revision at which the load began
@@ -137,15 +141,11 @@
 }
 
 // beginTerm and endTerm say who leads.
-type beginTerm struct {
-	lead Lead
-	done chan struct{}
-}
+type beginTerm struct{ lead Lead }
 
 func (r beginTerm) serve(_ context.Context, k *Keeper) {
 	k.lead = &r.lead
 	k.wake = time.Now()
-	close(r.done)
 }
 
 type endTerm struct{ term uint64 }
@@ -160,16 +160,11 @@
 	}
 }
 
-// Begin says that this controller leads. From now on pages are read for the term.
+// Begin says that this controller leads. What is asked from now on is read for the term. It doesn't wait for a
+// request that is under way: a take-over has other things to do.
 func (k *Keeper) Begin(ctx context.Context, lead Lead) {
-	r := beginTerm{lead, make(chan struct{})}
-	select {
-	case k.in <- r:
-	case <-ctx.Done():
-		return
-	}
 	select {
-	case <-r.done:
+	case k.in <- beginTerm{lead}:
 	case <-ctx.Done():
 	}
 }
--- a/internal/archive/keeper_test.go
+++ b/internal/archive/keeper_test.go
@@ -617,6 +617,48 @@
 	})
 }
 
+// Who hasn't heard of changes for long loads all pages again: the changes may be more than they.
+func TestAStaleKeeperLoadsAgain(t *testing.T) {
+	inFixture(t, func(f *fixture) {
+		_, all := f.archived(100)
+		k := NewKeeper(&storagetest.Client{Service: f.store}, f.limits, Settings{Refresh: 10 * time.Second, CallTime: time.Second, MemoryBytes: 1 << 20}, slog.New(slog.DiscardHandler))
+		k.refresh(context.Background())
+		first := k.loadedFrom
+		time.Sleep(30 * time.Second)
+		k.refresh(context.Background())
+		if k.loadedFrom != first || !k.Index.Stats().Complete {
+			t.Error("it loads again at once")
+		}
+		if _, err := f.store.Apply(nil, []storage.Op{{Key: "other", Data: []byte("1")}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Minute)
+		k.refresh(context.Background())
+		if k.loadedFrom == first {
+			t.Error("it asks for the changes of ten minutes")
+		}
+		if r := k.Index.Lookup(all[50].Rank); r.Knowledge != Found {
+			t.Errorf("%+v", r)
+		}
+	})
+}
+
+// What nobody waits for any longer isn't read.
+func TestAForgottenQuestionIsNotRead(t *testing.T) {
+	inFixture(t, func(f *fixture) {
+		f.memory = 1
+		k, all := f.archived(100)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		q := question{ctx, all[50].Rank, make(chan answer, 1)}
+		k.in <- q
+		time.Sleep(time.Second)
+		if len(q.reply) > 0 {
+			t.Error("it was read")
+		}
+	})
+}
+
 // Without a lead a keeper that doesn't follow asks the state service nothing.
 func TestAnIdleKeeperAsksNothing(t *testing.T) {
 	inFixture(t, func(f *fixture) {
--- a/internal/archive/move.go
+++ b/internal/archive/move.go
@@ -67,6 +67,7 @@
 		k.report(fmt.Errorf("page %s is larger than may be written now; the jobs of its range stay in the journal", pageKey(page.Upper)))
 		return nil, nil
 	}
+	// Written even if all of them are there already: what comes late for the page's present version is barred then.
 	k.writes.AllowN(time.Now(), len(pages))
 	if err := k.write(ctx, held, pages, nil); err != nil {
 		return nil, err
--- a/internal/archive/refresh.go
+++ b/internal/archive/refresh.go
@@ -13,6 +13,9 @@
 // since.
 func (k *Keeper) refresh(ctx context.Context) {
 	began := time.Now()
+	if !k.exact() && began.Sub(k.caughtUp) > staleRefreshes*k.settings.Refresh {
+		k.loading = true
+	}
 	var err error
 	switch {
 	case k.loading || !k.Index.current.Load().complete:
@@ -62,7 +65,7 @@
 		s.complete = true
 	})
 	k.loading, k.cursor, k.seen = false, "", nil
-	k.revision = k.loadedFrom
+	k.revision, k.caughtUp = k.loadedFrom, time.Now()
 	return nil
 }
 
@@ -97,7 +100,7 @@
 			k.Index.remove(upper, it.Version)
 		}
 	}
-	k.revision = max(k.revision, revision)
+	k.revision, k.caughtUp = max(k.revision, revision), time.Now()
 	if k.lead != nil {
 		k.Index.edit(func(s *snapshot) { s.term = k.lead.Term })
 	}
@@ -106,6 +109,7 @@
 
 // question asks for one job's page to be read.
 type question struct {
+	ctx   context.Context // ends when nobody waits for the answer any longer
 	rank  Rank
 	reply chan answer
 }
@@ -117,7 +121,7 @@
 
 // Read tells what is known of a job after its page was read, if that is needed. Where too much is asked it fails at once.
 func (k *Keeper) Read(ctx context.Context, rank Rank) (Result, error) {
-	q := question{rank, make(chan answer, 1)}
+	q := question{ctx, rank, make(chan answer, 1)}
 	if err := k.ask(q); err != nil {
 		return Result{}, err
 	}
@@ -130,6 +134,9 @@
 }
 
 func (q question) serve(ctx context.Context, k *Keeper) {
+	if q.ctx.Err() != nil {
+		return
+	}
 	result, err := k.readPage(ctx, q.rank)
 	q.reply <- answer{result, err}
 }
--- a/internal/coordination/archiving.go
+++ b/internal/coordination/archiving.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -215,8 +216,16 @@
 	}
 }
 
-// restore takes archived jobs back into the journal.
+// errMoving says that jobs are on their way to the archive.
+var errMoving = errors.New("jobs are being archived")
+
+// restore takes archived jobs back into the journal. While an offer is under way nothing is taken back: its answer could remove a job
+// from the journal whose page is dropped then.
 func (d *dispatcher) restore(m restoreMsg) {
+	if d.moving {
+		m.reply <- errMoving
+		return
+	}
 	for _, e := range m.entries {
 		if d.jobs.get(e.Rank.ID()) != nil {
 			continue // its record was never removed
--- a/internal/coordination/archiving_test.go
+++ b/internal/coordination/archiving_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -790,3 +791,62 @@
 		}
 	})
 }
+
+// While an offer to the archive is under way its answer may still remove jobs from the journal: nothing is brought back
+// then, and the gate counts as used though no page holds anything yet.
+func TestAnOfferUnderWayIsAUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(t, grownSettings())
+		rank, _ := archive.RankOf("000001")
+		restore := func() error {
+			reply := make(chan error, 1)
+			d.restore(restoreMsg{[]archive.Entry{{Rank: rank}}, reply})
+			for _, f := range d.committed {
+				f(nil)
+			}
+			return <-reply
+		}
+		uses := func() int {
+			go func() { d.handle(<-d.mailbox) }()
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			go func() { _ = d.journal.Run(ctx) }()
+			usage, err := termGates{d, d.journal}.setGates(ctx, d.gates, true)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return usage[upgrade.JobArchive]
+		}
+		if uses() != 0 {
+			t.Error("an idle leader uses the gate")
+		}
+		d.moving = true
+		if err := restore(); !errors.Is(err, errMoving) || d.jobs.get("000001") != nil {
+			t.Errorf("brought back: %v", err)
+		}
+		if uses() == 0 {
+			t.Error("an offer under way is no use")
+		}
+		d.moving = false
+		if err := restore(); err != nil || d.jobs.get("000001") == nil {
+			t.Errorf("not brought back: %v", err)
+		}
+	})
+}
+
+// What was archived in a term stays to be looked for in it, though the gate's release is on its way and may be taken back.
+func TestTheArchiveIsUsedForTheRestOfTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(t, grownSettings())
+		if d.archiveUsed {
+			t.Error("used from the start")
+		}
+		used := upgrade.Initial()
+		used.Gates = map[upgrade.GateName]upgrade.GateState{upgrade.JobArchive: {Since: upgrade.Version4, Phase: upgrade.GateOpen, Used: true}}
+		d.setGates(used)
+		d.setGates(upgrade.Initial())
+		if !d.archiveUsed {
+			t.Error("no longer used")
+		}
+	})
+}
--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -119,6 +119,7 @@
 	gateUses struct {
 		openGangs int
 		archive   bool // jobs may be archived: the archive itself is to be counted
+		moving    bool // jobs are on their way there
 	}
 	committedMsg struct{ err error }
 	catalogueMsg struct{ types []storage.MachineType }
@@ -303,7 +304,7 @@
 		d.handleCommitted(m.err)
 	case gatesMsg:
 		d.setGates(m.record)
-		m.reply <- gateUses{d.jobs.openGangs(), d.archiveUsed}
+		m.reply <- gateUses{d.jobs.openGangs(), d.archiveUsed, d.moving}
 	case catalogueMsg:
 		d.setTypes(m.types)
 		d.mark(storage.CatalogueKey, func() any { return m.types })
--- a/internal/coordination/gates.go
+++ b/internal/coordination/gates.go
@@ -111,5 +111,8 @@
 	if uses.archive {
 		usage[upgrade.JobArchive], err = t.countArchived(ctx, record)
 	}
+	if uses.moving { // what is offered may not be counted yet
+		usage[upgrade.JobArchive]++
+	}
 	return usage, err
 }
