Tests of what survived its removal: the archive's fence, its withdrawal after a failed commit

What still survives: that a job counts as finished only if its commit succeeded, since a failed commit ends the term.

--- a/internal/coordination/archiving_test.go
+++ b/internal/coordination/archiving_test.go
@@ -850,3 +850,44 @@
 		}
 	})
 }
+
+// A page isn't dropped unless its jobs are durable in the journal.
+func TestAPageIsDroppedAfterItsJobsAreBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		d := newTestDispatcher(t, grownSettings())
+		service := storagetest.NewService()
+		defer service.Close()
+		rank, _ := archive.RankOf("000001")
+		ops, err := archive.Build([]archive.Entry{{Rank: rank, Final: archive.Final{Done: 1}}}, &d.settings.State)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ops = append(ops, storage.Op{Key: leadKey, Data: json.RawMessage(`{}`)})
+		version, err := service.Apply(nil, ops)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.archive = newArchive(d.settings, Deps{State: &storagetest.Client{Service: service}, Log: d.log}, storage.NewLimitTracker(d.settings.State))
+		go d.archive.Run(ctx)
+		d.archive.Begin(ctx, archive.Lead{Term: d.term, Guard: storage.Guard{Key: leadKey, Version: version}})
+		time.Sleep(time.Minute)
+		answer := make(chan error, 1) // of the journal
+		go func() {
+			for m := range d.mailbox {
+				m.(restoreMsg).reply <- <-answer
+			}
+		}()
+		defer close(d.mailbox)
+		for _, c := range []struct {
+			committed error
+			pages     int
+		}{{errMoving, 1}, {storage.ErrDeposed, 1}, {nil, 0}} {
+			answer <- c.committed
+			if err := (termGates{d, d.journal}).restoreFirst(ctx); !errors.Is(err, c.committed) || len(service.Keys(archivePrefix)) != c.pages {
+				t.Errorf("%v: %d pages left, %v", c.committed, len(service.Keys(archivePrefix)), err)
+			}
+		}
+	})
+}
--- a/internal/upgrade/transition_test.go
+++ b/internal/upgrade/transition_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -280,3 +281,19 @@
 		t.Errorf("%+v", s.Record)
 	}
 }
+
+// The archive's gate doesn't open without the fence: a process that doesn't register could lead over what it can't read.
+func TestTheArchiveNeedsTheFence(t *testing.T) {
+	registration := NewRegistration("n0", "1", Supported)
+	for _, fenced := range []bool{false, true} {
+		known := Gates
+		if !fenced {
+			known = slices.DeleteFunc(slices.Clone(Gates), func(g Gate) bool { return g.Name == FencedTerm })
+		}
+		record := Record{Schema: 1, Active: Current, Phase: Soaking}
+		step := Next(Situation{Record: record, Members: []Member{{Node: "n0", Registered: &registration}}, Versions: Supported, Known: known, Now: time.Unix(1, 0)})
+		if open := step.Record.Gate(JobArchive).phaseOpen(); open != fenced {
+			t.Errorf("fence known %v, archive open %v: %s", fenced, open, step.What)
+		}
+	}
+}
