--- a/cmd/fleetload/run.go
+++ b/cmd/fleetload/run.go
@@ -27,7 +27,8 @@
   silent:0.1@10s+5s     a tenth of the workers is silent for 5 s
   state-out@10s+5s      the state service refuses everything for 5 s
   state-slow:0.2@10s+5s it takes 0.2 s longer for 5 s
-  zone@10s              all workers of a zone are gone`,
+  zone@10s              all workers of a zone are gone
+  burst:1500@10s        so many jobs of one task are submitted at once`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			for _, text := range faults {
@@ -55,6 +56,7 @@
 	flags.IntVar(&config.Archived, "archived", config.Archived, "finished jobs that are archived before the start")
 	flags.Float64Var(&config.FinalPollsPerS, "final-polls", config.FinalPollsPerS, "polls a second for jobs that were finished before the start")
 	flags.BoolVar(&config.Archive, "archive", config.Archive, "switch the archive of finished jobs on")
+	flags.BoolVar(&config.Fencing, "fencing", config.Fencing, "have workers' tokens raised within a term")
 	flags.IntVar(&config.ArchiveKeep, "archive-keep", config.ArchiveKeep, "finished jobs that stay out of the archive; below 0: the default")
 	flags.DurationVar(&config.Report, "report", config.Report, "a worker's report interval")
 	flags.DurationVar(&config.Lease, "lease", config.Lease, "a worker's lease")
--- a/cmd/sagevale/serve.go
+++ b/cmd/sagevale/serve.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return fmt.Errorf("peer_listen: %w", err)
 	}
-	peers := transport.NewPeers(s.Node, s.Peers, transport.Pace{Window: s.BatchWindow(), Pings: s.LinkTests()}, log)
+	peers := transport.NewPeers(s.Node, s.Peers, transport.Pace{Window: s.BatchWindow(), Pings: s.LinkTests(), Queue: s.QueueSize()}, log)
 	node := coordination.NewNode(s, coordination.Deps{
 		State:   transport.NewStateClient(s.StateAddr),
 		Cloud:   transport.NewCloudClient(s.CloudAddr),
--- a/internal/coordination/archiving_test.go
+++ b/internal/coordination/archiving_test.go
@@ -801,9 +801,7 @@
 		restore := func() error {
 			reply := make(chan error, 1)
 			d.restore(restoreMsg{[]archive.Entry{{Rank: rank}}, reply})
-			for _, f := range d.committed {
-				f(nil)
-			}
+			d.commit(nil)
 			return <-reply
 		}
 		uses := func() int {
--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -44,8 +44,7 @@
 			a.durable, a.seen, a.state, a.started = true, true, Running, time.Now()
 		}
 	}
-	d.committed = nil
-	clear(d.dirty)
+	d.unmark()
 	d.firstJob = time.Now().Add(-3 * d.settings.Lease)
 	return d
 }
--- /dev/null
+++ b/internal/coordination/bounds.go
@@ -0,0 +1,47 @@
+package coordination
+
+import "math/rand/v2"
+
+// What may wait or be done at once, derived from the settings or from the fleet. Each bound
+// is listed in docs/limits.md with what happens where it is reached.
+
+// leastQueue is the least that the queues of a node's actors hold.
+const leastQueue = 1024
+
+// QueueSize is how many requests the queues of a node's actors hold. Every accepted connection
+// brings one request at a time, and so does every exchange with a worker or a peer, each of
+// which has a socket: a queue of as many can't overflow by them.
+func (s *Settings) QueueSize() int { return max(leastQueue, s.Sockets) }
+
+// submissionShare of the dispatcher's mailbox may be filled when a submission comes, and
+// questionShare when a question or a cancellation does: the rest is left for the workers' reports,
+// without which leases end.
+const (
+	submissionShare = 1.0 / 2
+	questionShare   = 3.0 / 4
+)
+
+// admits tells whether a user's request may join what waits for the dispatcher.
+func (d *dispatcher) admits(op UserOp) bool {
+	share := questionShare
+	if op == OpSubmit {
+		share = submissionShare
+	}
+	return float64(len(d.mailbox)) < share*float64(cap(d.mailbox))
+}
+
+// scanLimit bounds the tasks placed in one round, so that a flood of tasks doesn't hold up the
+// answers to workers. It bounds no rate: placement rests in proportion to a round, and a larger
+// one would only make urgent work wait longer for the next.
+const scanLimit = 512
+
+// ordersMost is how many orders one answer to a report carries: they stay within a line of
+// 64 KiB. The rest goes with the next answer.
+const ordersMost = 512
+
+// busySpread is within how many seconds those are told to return who found the mailbox full: it
+// is empty again after a round, and they shouldn't return together.
+const busySpread = 3
+
+// busyRetryS is when a user who found the mailbox full should come again, in seconds.
+func busyRetryS() int { return 1 + rand.IntN(busySpread) }
--- /dev/null
+++ b/internal/coordination/bounds_test.go
@@ -0,0 +1,179 @@
+package coordination
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"sagevale/internal/storage"
+)
+
+// What bounds the size of a fleet: at 6,000 machines nothing that was fixed stands in the way.
+
+const manyMachines = 6000
+
+// slowCloud lists many machines, each page after a second.
+type slowCloud struct{ machines int }
+
+func (c slowCloud) Catalogue(context.Context) ([]storage.MachineType, error) { return nil, nil }
+
+func (c slowCloud) Rent(context.Context, string, storage.RentalRecord) ([]int, error) {
+	return nil, nil
+}
+
+func (c slowCloud) Return(context.Context, []int) error { return nil }
+
+func (c slowCloud) List(ctx context.Context, after, limit int) (page []Listed, more bool, err error) {
+	select {
+	case <-time.After(time.Second):
+	case <-ctx.Done():
+		return nil, false, ctx.Err()
+	}
+	for id := after + 1; id < c.machines && len(page) < limit; id++ {
+		page = append(page, Listed{Machine: id})
+	}
+	return page, after+1+len(page) < c.machines, nil
+}
+
+// A list of many pages takes longer than one call may; it leaves requests for the rest.
+func TestALongMachineListIsReadWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := grownSettings()
+		s.Lease, s.CloudRPS = 12*time.Second, 3
+		c := &capacity{settings: &s, cloud: slowCloud{manyMachines}, ctx: t.Context(), limiter: rate.NewLimiter(rate.Limit(s.CloudRPS*cloudShare), 1)}
+		machines, pages, err := c.listAll()
+		if err != nil || len(machines) != manyMachines || pages != manyMachines/listPage {
+			t.Fatalf("%d machines on %d pages: %v", len(machines), pages, err)
+		}
+		c.listPages = pages
+		if share := float64(pages) / c.listEvery().Seconds() / s.CloudRPS; share > listShare*cloudShare+0.01 {
+			t.Errorf("lists take %.2f of the requests", share)
+		}
+		if c.listPages = 1; c.listEvery() != s.ListLag/listsPerLag {
+			t.Errorf("a short list is read every %v", c.listEvery())
+		}
+	})
+}
+
+// All workers may report at once: none is turned away before users are, and submissions go first.
+func TestAllWorkersMayReportAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := grownSettings()
+		s.Sockets = manyMachines
+		d := newTestDispatcher(t, s) // it takes nothing in
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		report := func(n int) {
+			for range n {
+				go d.heartbeats(ctx, nil)
+			}
+			synctest.Wait()
+		}
+		busy := func(op UserOp) bool { return !d.admits(op) }
+		if report(manyMachines/2 - 1); busy(OpSubmit) || busy(OpPoll) || busy(OpCancel) {
+			t.Error("users are turned away from a mailbox half empty")
+		}
+		if report(2); !busy(OpSubmit) || busy(OpPoll) || busy(OpCancel) {
+			t.Error("submissions don't leave room for questions and cancellations")
+		}
+		if report(manyMachines / 4); !busy(OpPoll) || !busy(OpCancel) {
+			t.Error("users don't leave room for reports")
+		}
+		if a := d.user(ctx, UserRequest{Op: OpPoll, ID: "000001"}); a.Code != CodeBusy || a.RetryS < 1 || a.RetryS > busySpread {
+			t.Errorf("answered %+v", a)
+		}
+		if report(manyMachines/4 - 1); len(d.mailbox) != manyMachines {
+			t.Errorf("%d of %d reports wait", len(d.mailbox), manyMachines)
+		}
+	})
+}
+
+// A worker that reports more unknown tasks than an answer holds orders for is told a part at a time.
+func TestAnAnswerHoldsSoManyOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(t, grownSettings())
+		d.up(1, "cpu", "a", false)
+		r := &Report{Machine: 1, Addr: "1", Type: "cpu", Zone: "a", Session: 1, Seq: 5, Token: d.term}
+		for i := range 3 * ordersMost / 2 {
+			r.Tasks = append(r.Tasks, TaskReport{ID: TaskID{fmt.Sprintf("%06d", i), 0}, Try: uint64(i), State: Running})
+		}
+		if a := d.handleHeartbeat(r); !a.Accepted || len(a.Orders) != ordersMost || slices.ContainsFunc(a.Orders, func(o Order) bool { return o.Verb != Stop }) {
+			t.Errorf("%d orders", len(a.Orders))
+		}
+		r.Seq++
+		r.Tasks = r.Tasks[ordersMost:]
+		if a := d.handleHeartbeat(r); len(a.Orders) != ordersMost/2 {
+			t.Errorf("%d orders for the rest", len(a.Orders))
+		}
+	})
+}
+
+// A flood of submissions is refused beyond what is recorded in time, in turns, and what is known
+// already is answered all the same.
+func TestAFloodOfSubmissionsIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(t, grownSettings())
+		submit := func(i int) (Answer, bool) {
+			reply := make(chan Answer, 1)
+			spec := arrayJob(fmt.Sprintf("%06d", i), 1)
+			d.handleUser(userMsg{req: UserRequest{Op: OpSubmit, ID: spec.ID, Spec: spec}, reply: reply})
+			select {
+			case a := <-reply:
+				return a, true
+			default:
+				return Answer{}, false
+			}
+		}
+		admitted, longest := 0, 0
+		for i := range 20000 {
+			a, refused := submit(i)
+			switch {
+			case !refused:
+				admitted++
+			case a.Code != CodeBusy || a.RetryS < 1:
+				t.Fatalf("answered %+v", a)
+			default:
+				longest = max(longest, a.RetryS)
+			}
+		}
+		if admitted == 0 || admitted > 10000 || longest < 10 {
+			t.Errorf("%d of 20,000 admitted at once, the rest within %d s", admitted, longest)
+		}
+		d.commit(nil)
+		if a, told := submit(0); !told || a.Code != CodeOK {
+			t.Errorf("a repeat is answered %+v", a)
+		}
+		if _, refused := submit(30000); refused {
+			t.Error("refused with nothing waiting")
+		}
+	})
+}
+
+// A flood of other work doesn't hold up the start of an urgent task, nor a flood of acceptances.
+func TestUrgentWorkIsRecordedBesideAFlood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(t, grownSettings())
+		m := d.up(1, "cpu", "a", false)
+		for i := range 5000 {
+			j := d.accept(arrayJob(fmt.Sprintf("%06d", i), 1))
+			d.markJob(j)
+			d.markPage(j, 0)
+		}
+		urgent := d.accept(service("900000", 1))
+		a := d.book(urgent, 0, m, time.Now())
+		d.startWhenDurable([]*attempt{a})
+		for range 2 {
+			if _, ok := d.queue.Next(d.settings.commitBytes(), func(key string, err error) { t.Error(key, err) }); ok {
+				d.handleCommitted(nil)
+			}
+		}
+		if !a.durable || a.direct != directInFlight {
+			t.Error("an urgent task waits for what isn't")
+		}
+	})
+}
--- a/internal/coordination/capacity.go
+++ b/internal/coordination/capacity.go
@@ -16,8 +16,10 @@
 const (
 	// cloudShare of the cloud's request budget is used.
 	cloudShare = 0.8
-	// listsPerLag is how often the machine list is read within its lag.
+	// listsPerLag is how often the machine list is read within its lag, as far as
+	// listShare of the requests allows.
 	listsPerLag = 2
+	listShare   = 0.5
 	// catalogueLeases is how often the catalogue is read again.
 	catalogueLeases = 5
 	// returnBatch is how many machines one deletion names at the most, the
@@ -59,6 +61,7 @@
 	returning    bool             // a deletion is on its way
 	listing      bool
 	lastList     time.Time
+	listPages    int // that the last list took
 	pricing      bool
 	lastPrices   time.Time
 }
@@ -91,6 +94,7 @@
 	}
 	listAnswer struct {
 		machines []Listed
+		pages    int
 		err      error
 	}
 	pricesAnswer struct {
@@ -166,7 +170,7 @@
 		c.dispatch.post(returnedMsg{m.machines})
 		c.returnMachines(nil)
 	case listAnswer:
-		c.listing = false
+		c.listing, c.listPages = false, m.pages
 		if m.err != nil {
 			c.freeze("list", m.err, now)
 			return
--- a/internal/coordination/cloud_calls.go
+++ b/internal/coordination/cloud_calls.go
@@ -22,19 +22,33 @@
 		if err := c.limiter.Wait(c.ctx); err != nil {
 			return
 		}
-		ctx, cancel := context.WithTimeout(c.ctx, scale(c.settings.Lease, 0.5))
+		ctx, cancel := c.callContext()
 		defer cancel()
 		f(ctx)
 	}()
 }
 
+// callPerLease is how long one cloud call may take, in leases.
+const callPerLease = 0.5
+
+func (c *capacity) callContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(c.ctx, scale(c.settings.Lease, callPerLease))
+}
+
+// listEvery is how long after one reading of the machine list the next one begins: a long list
+// must leave requests for rentals and returns.
+func (c *capacity) listEvery() time.Duration {
+	atShare := time.Duration(float64(c.listPages) / (float64(c.limiter.Limit()) * listShare) * float64(time.Second))
+	return max(c.settings.ListLag/listsPerLag, atShare)
+}
+
 // poll reads the machine list and the catalogue when they are due.
 func (c *capacity) poll(now time.Time) {
-	if !c.listing && now.Sub(c.lastList) >= c.settings.ListLag/listsPerLag {
+	if !c.listing && now.Sub(c.lastList) >= c.listEvery() {
 		c.listing, c.lastList = true, now
-		c.call(func(ctx context.Context) {
-			machines, err := c.listAll(ctx)
-			c.post(listAnswer{machines, err})
+		c.call(func(context.Context) {
+			machines, pages, err := c.listAll()
+			c.post(listAnswer{machines, pages, err})
 		})
 	}
 	if !c.pricing && now.Sub(c.lastPrices) >= catalogueLeases*c.settings.Lease {
@@ -46,25 +60,33 @@
 	}
 }
 
-func (c *capacity) listAll(ctx context.Context) ([]Listed, error) {
-	var out []Listed
+// listAll reads the whole machine list. Each page is a call of its own, so that the list may be of
+// any length.
+func (c *capacity) listAll() (all []Listed, pages int, err error) {
 	after := noMachine
 	for {
-		page, more, err := c.cloud.List(ctx, after, listPage)
+		page, more, err := c.listOne(after)
 		if err != nil {
-			return nil, err
+			return nil, pages, err
 		}
-		out = append(out, page...)
+		pages++
+		all = append(all, page...)
 		if !more || len(page) == 0 {
-			return out, nil
+			return all, pages, nil
 		}
 		after = page[len(page)-1].Machine
-		if err := c.limiter.Wait(ctx); err != nil {
-			return nil, err
+		if err := c.limiter.Wait(c.ctx); err != nil {
+			return nil, pages, err
 		}
 	}
 }
 
+func (c *capacity) listOne(after int) (page []Listed, more bool, err error) {
+	ctx, cancel := c.callContext()
+	defer cancel()
+	return c.cloud.List(ctx, after, listPage)
+}
+
 // rentalsFor gathers the wanted machines into rentals, in the order of their
 // first mention, none larger than the cloud takes.
 func rentalsFor(wanted []offer) []storage.RentalRecord {
--- a/internal/coordination/commits.go
+++ b/internal/coordination/commits.go
@@ -1,23 +1,72 @@
 package coordination
 
 import (
-	"sort"
+	"slices"
 	"time"
 
+	"sagevale/internal/admission"
+	"sagevale/internal/groupcommit"
 	"sagevale/internal/storage"
 )
 
-// mark notes that an entity's record must be written; data is asked for its
-// value when it is.
-func (d *dispatcher) mark(key string, data func() any) { d.dirty[key] = data }
+const (
+	// commitPerReport is how long one commit may take at the journal's pace, in report
+	// intervals: what waits behind it waits as long.
+	commitPerReport = 0.07
+	// acceptanceBytes is about what the record of an accepted job takes. It gives the pace
+	// of acceptances until that is measured.
+	acceptanceBytes = 250
+)
+
+// commitBytes is how much one commit holds.
+func (s *Settings) commitBytes() int { return s.State.BytesIn(scale(s.Report, commitPerReport)) }
+
+// submissionWait is how long a submission may wait to be recorded: its user gives up after 5 s, by
+// the protocol, and the answer has to travel.
+const submissionWait = 3 * time.Second
+
+// newAdmission admits submissions that are expected to be recorded while their users wait.
+func (d *dispatcher) newAdmission() *admission.Gate {
+	pace := float64(d.settings.State.BytesIn(time.Second)) / acceptanceBytes
+	return admission.New(submissionWait, pace, len(d.settings.Teams))
+}
+
+// admit tells whether a team's submission may wait to be recorded.
+func (d *dispatcher) admit(team string) bool {
+	return d.admission.Admit(team, d.journal.Spare()/acceptanceBytes)
+}
+
+// mark notes that an entity's record must be written; data is asked for its value when it
+// is. It returns nil to remove the entity.
+func (d *dispatcher) mark(key string, data func() any) { d.queue.Mark(groupcommit.Bulk, key, data) }
 
+// markJob notes that a job's own record must be written: users wait for that.
 func (d *dispatcher) markJob(j *job) {
-	d.mark(storage.JobKey(j.spec.ID), func() any { return j.record() })
+	d.queue.Mark(jobLane(j), storage.JobKey(j.spec.ID), func() any { return j.record() })
+}
+
+// urgent tells whether a job's records don't wait behind those of others.
+func (j *job) urgent() bool { return j.spec.Priority >= storage.High }
+
+// jobLane is the lane of a job's own record.
+func jobLane(j *job) groupcommit.Lane {
+	if j.urgent() {
+		return groupcommit.Urgent
+	}
+	return groupcommit.Prompt
+}
+
+// pageLane is the lane of a job's pages, in which its tasks' starts become durable.
+func pageLane(j *job) groupcommit.Lane {
+	if j.urgent() {
+		return groupcommit.Urgent
+	}
+	return groupcommit.Bulk
 }
 
 func (d *dispatcher) markPage(j *job, task int) {
 	p := task / storage.PageTasks
-	d.mark(storage.PageKey(j.spec.ID, p), func() any {
+	d.queue.Mark(pageLane(j), storage.PageKey(j.spec.ID, p), func() any {
 		if rec := j.page(p); rec != nil {
 			return rec
 		}
@@ -32,49 +81,61 @@
 
 // pageSettled tells whether a task's page is durable as it stands.
 func (d *dispatcher) pageSettled(id TaskID) bool {
-	key := storage.PageKey(id.Job, id.Task/storage.PageTasks)
-	_, dirty := d.dirty[key]
-	return !dirty && !d.writing[key]
+	return d.queue.Settled(storage.PageKey(id.Job, id.Task/storage.PageTasks))
 }
 
-// onCommit calls f once all that is dirty now is durable.
-func (d *dispatcher) onCommit(f func(error)) { d.committed = append(d.committed, f) }
+// onCommit calls f once all that is marked now is durable.
+func (d *dispatcher) onCommit(f func(error)) { d.queue.OnAllDurable(f) }
 
-// flush hands what is dirty to the journal, unless a commit is under way:
-// then it joins the next one.
-func (d *dispatcher) flush() {
-	if !d.commitAt.IsZero() || (len(d.dirty) == 0 && len(d.committed) == 0) {
-		return
-	}
-	keys := make([]string, 0, len(d.dirty))
-	for k := range d.dirty {
-		keys = append(keys, k)
+// onJobCommit calls f once a job's own record is durable as it is marked now.
+func (d *dispatcher) onJobCommit(j *job, f func(error)) { d.queue.OnDurable(f, jobLane(j)) }
+
+// startWhenDurable starts what was booked once its jobs and pages are durable. Urgent work doesn't
+// wait for the rest.
+func (d *dispatcher) startWhenDurable(booked []*attempt) {
+	var urgent, others []*attempt
+	for _, a := range booked {
+		if a.job.urgent() {
+			urgent = append(urgent, a)
+		} else {
+			others = append(others, a)
+		}
 	}
-	sort.Strings(keys)
-	batch := storage.Batch{Ack: func(err error) { d.post(committedMsg{err}) }}
-	d.writing = make(map[string]bool, len(keys))
-	for _, k := range keys {
-		rec, err := storage.NewRecord(k, d.dirty[k]())
-		if err != nil {
-			d.log.Error("record not encoded", "key", k, "err", err)
-			continue
+	starts := func(booked []*attempt) func(error) {
+		return func(err error) {
+			if err == nil {
+				d.start(booked)
+			}
 		}
-		batch.Records = append(batch.Records, rec)
-		d.writing[k] = true
 	}
-	clear(d.dirty)
-	d.inCommit, d.committed = d.committed, nil
+	if len(urgent) > 0 {
+		d.queue.OnDurable(starts(urgent), groupcommit.Urgent)
+	}
+	if len(others) > 0 {
+		d.onCommit(starts(others))
+	}
+}
+
+// flush hands what is marked to the journal, as much as one commit holds, unless one is
+// under way.
+func (d *dispatcher) flush() {
+	records, ok := d.queue.Next(d.settings.commitBytes(), func(key string, err error) {
+		d.log.Error("record not encoded", "key", key, "err", err)
+	})
+	if !ok {
+		return
+	}
 	d.commitAt = time.Now()
-	d.journal.Append(d.ctx, batch)
+	d.journal.Append(d.ctx, storage.Batch{Records: records, Ack: func(err error) { d.post(committedMsg{err}) }})
 }
 
+// handleCommitted takes in what became of the commit under way.
 func (d *dispatcher) handleCommitted(err error) {
-	calls := d.inCommit
-	if len(d.committed) == 0 {
-		defer func() { d.waiters = d.waiters[:0] }()
-	}
-	d.inCommit, d.writing, d.commitAt = nil, nil, time.Time{}
-	for _, f := range calls {
-		f(err)
+	took := time.Since(d.commitAt)
+	d.commitAt = time.Time{}
+	d.accepted = 0
+	if full := d.queue.Committed(err); full {
+		d.admission.Measured(d.accepted, took)
 	}
+	d.waiters = slices.DeleteFunc(d.waiters, func(w *waiter) bool { return w.told })
 }
--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -9,8 +9,10 @@
 	"sync/atomic"
 	"time"
 
+	"sagevale/internal/admission"
 	"sagevale/internal/archive"
 	"sagevale/internal/fencing"
+	"sagevale/internal/groupcommit"
 	"sagevale/internal/storage"
 	"sagevale/internal/upgrade"
 )
@@ -69,10 +71,9 @@
 	nextTry         uint64
 	refused         map[offer]time.Time
 
-	dirty     map[string]func() any // record key -> its data when written
-	committed []func(error)         // called when what is dirty now is durable
-	writing   map[string]bool       // keys in the commit under way
-	inCommit  []func(error)
+	queue     *groupcommit.Queue // what is to become durable
+	admission *admission.Gate
+	accepted  int // submissions that the last commit made durable
 	waiters   []*waiter
 	commitAt  time.Time // when the commit under way began; zero: none
 	place     bool      // something changed that placement should look at
@@ -142,15 +143,16 @@
 	d := &dispatcher{
 		settings: s, deps: deps, term: role.Term, tokens: fencing.TermTokens(role.Term), role: role, journal: journal, resign: resign, log: log,
 		rand:    rand.New(rand.NewPCG(deps.Rand.Uint64(), role.Term)),
-		mailbox: make(chan any, mailboxSize), closed: make(chan struct{}), ctx: context.Background(),
+		mailbox: make(chan any, s.QueueSize()), closed: make(chan struct{}), ctx: context.Background(),
 		began: time.Now(), types: make(map[string]*storage.MachineType),
 		jobs: newJobTable(), machines: make(map[int]*machine),
 		reservations: storage.NewReservations(), classes: make(map[string]*class), rentals: make(map[string]storage.RentalRecord),
 		nextTry: role.Term * tryStride, refused: make(map[offer]time.Time),
-		dirty: make(map[string]func() any), removed: make(map[int]bool), place: true,
+		queue: groupcommit.New(), removed: make(map[int]bool), place: true,
 		delegator: newDelegator(s), unreached: make(map[int]bool), sinceHeartbeat: func() time.Duration { return 0 },
 		gates: role.cluster.record, requestGate: func(upgrade.GateName) {},
 	}
+	d.admission = d.newAdmission()
 	d.setRole(role)
 	d.useArchive()
 	return d, d.load(journal.Records())
@@ -172,12 +174,15 @@
 func (d *dispatcher) user(ctx context.Context, req UserRequest) Answer {
 	reply := make(chan Answer, 1)
 	asked := time.Now()
+	if !d.admits(req.Op) {
+		return Answer{Code: CodeBusy, ID: req.ID, Reason: "too much asked at once", RetryS: busyRetryS()}
+	}
 	select {
 	case d.mailbox <- userMsg{req: req, reply: reply}:
 	case <-d.closed:
 		return Unavailable(req.ID, "leader is stepping down")
 	default:
-		return Answer{Code: CodeBusy, ID: req.ID, Reason: "too much asked at once", RetryS: 2}
+		return Answer{Code: CodeBusy, ID: req.ID, Reason: "too much asked at once", RetryS: busyRetryS()}
 	}
 	select {
 	case a := <-reply:
--- a/internal/coordination/forwarder.go
+++ b/internal/coordination/forwarder.go
@@ -16,8 +16,6 @@
 // delegation.go.
 
 const (
-	// forwarderQueue bounds the reports that wait for the forwarder.
-	forwarderQueue = 1024
 	// batchMost is how many reports one batch for the leader holds.
 	batchMost = 128
 	// workerMemoryLeases is how long a silent worker is remembered, in leases.
@@ -67,7 +65,7 @@
 
 func newForwarder(n *Node) *forwarder {
 	return &forwarder{
-		node: n, settings: n.settings, in: make(chan pendingReport, forwarderQueue), decided: make(chan decidedBatch, forwarderQueue),
+		node: n, settings: n.settings, in: make(chan pendingReport, n.settings.QueueSize()), decided: make(chan decidedBatch, n.settings.QueueSize()),
 		workers: make(map[int]*knownWorker), seed: maphash.MakeSeed(), affinity: newAffinity(n),
 	}
 }
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"sagevale/internal/groupcommit"
 	"sagevale/internal/storage"
 	"sagevale/internal/storage/storagetest"
 )
@@ -68,7 +69,7 @@
 		if err := d.load(records); err != nil {
 			t.Fatal(err)
 		}
-		if j := d.jobs.get("000001"); j.phase != storage.Done || len(d.dirty) == 0 {
+		if j := d.jobs.get("000001"); j.phase != storage.Done || d.queue.Waiting(groupcommit.Prompt) == 0 {
 			t.Errorf("phase %v", j.phase)
 		}
 	})
@@ -148,7 +149,7 @@
 			t.Errorf("ordered %+v before the booking is durable", o)
 		}
 		a.durable = true
-		clear(d.dirty)
+		d.unmark()
 		if o := orders(); len(o) != 1 || o[0].Verb != Start {
 			t.Errorf("ordered %+v", o)
 		}
@@ -157,7 +158,7 @@
 		if o := orders(); len(o) != 0 {
 			t.Errorf("ordered %+v before the end is durable", o)
 		}
-		clear(d.dirty)
+		d.unmark()
 		if o := orders(); len(o) != 1 || o[0].Verb != Forget {
 			t.Errorf("ordered %+v", o)
 		}
@@ -179,9 +180,7 @@
 			}
 		}
 		commit := func(err error) {
-			clear(d.dirty)
-			d.inCommit, d.committed = d.committed, nil
-			d.handleCommitted(err)
+			d.commit(err)
 		}
 		a, b := arrayJob("000001", 1), arrayJob("000002", 1)
 		if got, told := tell(OpSubmit, a); told {
@@ -261,9 +260,7 @@
 		if left() != 0 || len(jobs[0].attempts) != 1 || len(jobs[1].attempts) != 2 {
 			t.Errorf("%d starts left before their records", left())
 		}
-		clear(d.dirty)
-		d.inCommit, d.committed = d.committed, nil
-		d.handleCommitted(nil)
+		d.commit(nil)
 		if left() != 3 {
 			t.Errorf("%d of 3 starts left after their records", left())
 		}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -32,10 +32,6 @@
 	Rand    *rand.Rand
 }
 
-// mailboxSize bounds what may wait for the dispatcher; beyond it users are
-// told to come back and workers to try the next node.
-const mailboxSize = 2048
-
 // Node is one controller: it follows or leads, and answers users and workers.
 type Node struct {
 	settings     *Settings
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -52,7 +52,7 @@
 		}
 		out = append(out, Order{Verb: Forget, ID: t.ID, Try: t.Try})
 	}
-	return out
+	return out[:min(len(out), ordersMost)]
 }
 
 // orderStops tells the workers of a job's stopped attempts directly.
--- a/internal/coordination/paired_guards_test.go
+++ b/internal/coordination/paired_guards_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"sagevale/internal/groupcommit"
 	"sagevale/internal/storage"
 	"sagevale/internal/storage/storagetest"
 )
@@ -23,7 +24,7 @@
 		r := d.role
 		r.Certain = time.Now()
 		d.setRole(r)
-		clear(d.dirty)
+		d.unmark()
 		for op, id := range map[UserOp]string{OpSubmit: "000002", OpPoll: "000001", OpCancel: "000001"} {
 			reply := make(chan Answer, 1)
 			d.handleUser(userMsg{req: UserRequest{Op: op, ID: id, Spec: service(id, 1)}, reply: reply})
@@ -31,8 +32,8 @@
 				t.Errorf("request %d is answered %+v", op, a)
 			}
 		}
-		if d.jobs.count() != 1 || len(d.dirty) != 0 || d.jobs.get("000001").phase != storage.Open {
-			t.Errorf("%d jobs, %d records to write", d.jobs.count(), len(d.dirty))
+		if d.jobs.count() != 1 || d.queue.Waiting(groupcommit.Prompt) != 0 || d.jobs.get("000001").phase != storage.Open {
+			t.Errorf("%d jobs, %d records to write", d.jobs.count(), d.queue.Waiting(groupcommit.Prompt))
 		}
 	})
 }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -10,9 +10,6 @@
 	// samples is the number of machines that a placement chooses between
 	// (DESIGN: power of two choices).
 	samples = 2
-	// scanLimit bounds the tasks placed in one round, so that a flood of
-	// tasks doesn't hold up the answers to workers.
-	scanLimit = 512
 	// roundRest is how long placement rests after a round, in durations of
 	// that round: what comes meanwhile widens the next.
 	roundRest = 8
@@ -56,13 +53,7 @@
 			d.placeJob(j, r)
 		}
 	}
-	if booked := r.booked; len(booked) > 0 {
-		d.onCommit(func(err error) {
-			if err == nil {
-				d.start(booked)
-			}
-		})
-	}
+	d.startWhenDurable(r.booked)
 }
 
 // waitingJobs lists the open jobs with tasks to place.
--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -31,8 +31,8 @@
 	relayFragments = 4
 	// relayTimeout is how long the answers to a batch may take.
 	relayTimeout = 2 * time.Second
-	// relayQueue bounds what waits for the next batch.
-	relayQueue = 512
+	// relayItemBytes is the most that one item of a batch takes: a request's body.
+	relayItemBytes = 64 << 10
 )
 
 // batchFragment is one value of a batch that is split over several keys.
@@ -82,7 +82,7 @@
 	}
 	z := flate.NewReader(bytes.NewReader(raw))
 	defer z.Close()
-	if err := gob.NewDecoder(io.LimitReader(z, 4<<20)).Decode(batch); err != nil {
+	if err := gob.NewDecoder(io.LimitReader(z, relayBatchSize*relayItemBytes)).Decode(batch); err != nil {
 		return fmt.Errorf("decode mail: %w", err)
 	}
 	return nil
--- a/internal/coordination/scale_test.go
+++ b/internal/coordination/scale_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"sagevale/internal/groupcommit"
 	"sagevale/internal/storage"
 	"sagevale/internal/storage/storagetest"
 )
@@ -37,6 +39,15 @@
 	return d
 }
 
+// commit has all that is marked become durable, or fail.
+func (d *dispatcher) commit(err error) {
+	d.queue.Next(math.MaxInt, func(key string, err error) { panic(key) })
+	d.handleCommitted(err)
+}
+
+// unmark forgets what is to become durable, with those who wait for it.
+func (d *dispatcher) unmark() { d.queue = groupcommit.New() }
+
 // silentWorkers never get a direct order.
 type silentWorkers struct{}
 
@@ -341,7 +352,7 @@
 			r.Seq = m.seq + 1
 			d.apply(m, r, true, time.Now())
 		}
-		clear(d.dirty)
+		d.unmark()
 		for _, o := range d.ordersFor(m, r, time.Now()) {
 			if o.Verb == Forget {
 				t.Errorf("try %d is to be forgotten", o.Try)
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -22,12 +22,13 @@
 	}
 }
 
-// whenDurable answers a user once all that is dirty now is durable. A user
+// whenDurable answers a user once a job's record is durable as it is marked now. A user
 // whose commit takes too long is told to come back: see failWaiting.
-func (d *dispatcher) whenDurable(id string, reply chan Answer, then func() Answer) {
+func (d *dispatcher) whenDurable(j *job, reply chan Answer, then func() Answer) {
+	id := j.spec.ID
 	w := &waiter{id: id, reply: reply}
 	d.waiters = append(d.waiters, w)
-	d.onCommit(func(err error) {
+	d.onJobCommit(j, func(err error) {
 		if err != nil {
 			w.tell(Unavailable(id, "not recorded"))
 			return
@@ -120,20 +121,28 @@
 			m.reply <- Answer{Code: CodeBusy, ID: spec.ID, Reason: "too many tasks are waiting", RetryS: int(d.settings.Lease.Seconds())}
 			return
 		}
+		if !d.admit(spec.Team) {
+			m.reply <- Answer{Code: CodeBusy, ID: spec.ID, Reason: "more is submitted than can be recorded", RetryS: d.admission.RetryS(now)}
+			return
+		}
 		j = newJob(spec, now)
 		d.jobs.insert(j)
 		d.arrival(j)
 		d.markJob(j)
+		d.onJobCommit(j, func(error) {
+			d.admission.Recorded(spec.Team)
+			d.accepted++
+		})
 		d.place = true
 		d.log.Debug("accept", "job", spec.ID, "class", spec.Class, "tasks", spec.Tasks, "estimate", spec.EstimateS, "due", spec.DeadlineS, "team", spec.Team)
 	}
-	d.whenDurable(j.spec.ID, m.reply, func() Answer {
+	d.whenDurable(j, m.reply, func() Answer {
 		j.known = true
 		return Answer{Code: CodeCreated, ID: j.spec.ID, State: StatePending}
 	})
 	// Others may wait for the same commit; the job is known however the
 	// first of them fares.
-	d.onCommit(func(err error) {
+	d.onJobCommit(j, func(err error) {
 		if err == nil {
 			j.known = true
 		}
@@ -206,7 +215,7 @@
 		d.leave(j, now)
 		d.log.Debug("cancel", "job", j.spec.ID, "attempts", len(j.attempts))
 		d.markJob(j)
-		d.onCommit(func(err error) {
+		d.onJobCommit(j, func(err error) {
 			if err != nil {
 				return
 			}
@@ -216,7 +225,7 @@
 			d.retire(j)
 		})
 	}
-	d.whenDurable(j.spec.ID, m.reply, func() Answer { return j.answer(CodeOK) })
+	d.whenDurable(j, m.reply, func() Answer { return j.answer(CodeOK) })
 }
 
 // finish makes a job done whose tasks have all completed.
@@ -227,7 +236,7 @@
 	j.phase = storage.Done
 	d.markJob(j)
 	d.log.Debug("done", "job", j.spec.ID, "class", j.spec.Class, "tasks", j.spec.Tasks, "after", time.Since(j.submitted), "due", j.spec.DeadlineS)
-	d.onCommit(func(err error) {
+	d.onJobCommit(j, func(err error) {
 		if err == nil {
 			j.settled = true
 			d.retire(j)
--- a/internal/fleetload/config.go
+++ b/internal/fleetload/config.go
@@ -26,6 +26,7 @@
 	Archived       int           `json:"archived"`          // finished jobs that are archived before the start
 	FinalPollsPerS float64       `json:"final_polls_per_s"` // polls a second for jobs that were over before the start
 	Archive        bool          `json:"archive"`           // switch the archive of finished jobs on
+	Fencing        bool          `json:"fencing"`           // have workers' tokens raised within a term
 	// ArchiveKeep is how many finished jobs stay out of the archive; below 0: the default.
 	ArchiveKeep int           `json:"archive_keep"`
 	Report      time.Duration `json:"report_ns"`
--- a/internal/fleetload/experiment.go
+++ b/internal/fleetload/experiment.go
@@ -78,6 +78,9 @@
 // properties keep the fleet at its size, and switch on what the experiment asks for.
 func (c *Config) properties() string {
 	text := "fleet.down.window = 24h\nfleet.cooldown = 24h\n"
+	if c.Fencing {
+		text += "fencing.enabled = true\n"
+	}
 	if c.Archive {
 		text += "archive.enabled = true\n"
 		if c.ArchiveKeep >= 0 {
@@ -145,6 +148,7 @@
 		e.bringAbout(lctx, began)
 	}()
 	go e.load.pollFinished(lctx)
+	go e.sampleWorkers(lctx)
 	e.load.churn(lctx)
 	<-faults
 	took := time.Since(began).Seconds()
@@ -161,6 +165,28 @@
 	e.load.wait.Wait()
 }
 
+// samples is into how many parts the measured time is divided.
+const samples = 10
+
+// sampleWorkers notes what workers send and receive over time, until ctx ends.
+func (e *Experiment) sampleWorkers(ctx context.Context) {
+	last := 0.0
+	for {
+		began := time.Now()
+		if !sleep(ctx, e.config.Duration/samples) {
+			return
+		}
+		total := 0.0
+		for _, kind := range []loopbacktest.Kind{loopbacktest.Reports, loopbacktest.DirectOrders} {
+			flow := e.fleet.Traffic.Snapshot()[kind]
+			total += float64(flow.RequestBytes + flow.ResponseBytes)
+		}
+		rate := (total - last) / time.Since(began).Seconds() / float64(e.config.Workers)
+		last = total
+		e.load.note(func() { e.result.WorkerBPerS = append(e.result.WorkerBPerS, rate) })
+	}
+}
+
 // usage is what each controller's process has used; nil entries aren't running.
 func (e *Experiment) usage() []*loopbacktest.ProcessUsage {
 	var all []*loopbacktest.ProcessUsage
@@ -211,6 +237,8 @@
 		store.Trouble(func(s *storagetest.Service) { s.Slow = time.Duration(f.Amount * float64(time.Second)) })
 		sleep(ctx, f.For)
 		store.Trouble(func(s *storagetest.Service) { s.Slow = 0 })
+	case Burst:
+		e.load.burst(int(f.Amount))
 	case ZoneLost:
 		e.say("%d workers are lost", e.fleet.Workers.LoseZone("a"))
 	}
@@ -253,7 +281,9 @@
 	l.note(func() {
 		r.Submitted, r.DoneJobs, r.CancelledJobs, r.NotOffered, r.FailedRequests = l.submitted, l.doneJobs, l.cancelled, l.notOffered, l.failed
 		r.Broken = append(r.Broken, l.broken...)
-		r.Latencies = map[string]Quantiles{"submit to accepted": quantiles(l.submitTime), "poll": quantiles(l.pollTime), "poll, finished before": quantiles(l.finalPollTime)}
+		r.Latencies = map[string]Quantiles{"submit to accepted": quantiles(l.submitTime), "poll": quantiles(l.pollTime), "poll, finished before": quantiles(l.finalPollTime),
+			"burst, submit to accepted": quantiles(l.bursts.accepted), "burst, told to return after": quantiles(l.bursts.told)}
+		r.Bursts = BurstFigures{Refusals: l.bursts.refusals, Refused: l.bursts.refused, AtReturn: l.bursts.atReturn, Abandoned: l.bursts.abandoned}
 	})
 	for class, h := range e.fleet.Workers.StartDelays() {
 		r.Latencies["accepted to start, "+string(class)] = quantiles(h)
--- a/internal/fleetload/fault.go
+++ b/internal/fleetload/fault.go
@@ -18,12 +18,13 @@
 	StateOut   FaultKind = "state-out"  // the state service refuses everything for a while
 	StateSlow  FaultKind = "state-slow" // it takes so many seconds longer for a while
 	ZoneLost   FaultKind = "zone"       // all workers of a zone are gone
+	Burst      FaultKind = "burst"      // so many jobs of one task are submitted at once
 )
 
 // Fault is one trouble at its time within the measured part of the run.
 type Fault struct {
 	Kind   FaultKind     `json:"kind"`
-	Amount float64       `json:"amount,omitempty"` // a share of the workers, or seconds
+	Amount float64       `json:"amount,omitempty"` // a share of the workers, seconds, or jobs
 	At     time.Duration `json:"at_ns"`
 	For    time.Duration `json:"for_ns,omitempty"`
 }
@@ -42,7 +43,7 @@
 
 // takesAmount and takesTime tell what each kind needs beside its time.
 var (
-	takesAmount = map[FaultKind]bool{LeaderEnds: false, AllEnd: false, Silent: true, StateOut: false, StateSlow: true, ZoneLost: false}
+	takesAmount = map[FaultKind]bool{LeaderEnds: false, AllEnd: false, Silent: true, StateOut: false, StateSlow: true, ZoneLost: false, Burst: true}
 	takesTime   = map[FaultKind]bool{Silent: true, StateOut: true, StateSlow: true}
 )
 
@@ -62,7 +63,7 @@
 		return bad("unknown kind")
 	}
 	if hasAmount != needsAmount {
-		return bad("takes an amount only if it is silent (a share) or state-slow (seconds)")
+		return bad("takes an amount only if it is silent (a share), state-slow (seconds) or burst (jobs)")
 	}
 	var err error
 	if hasAmount {
--- a/internal/fleetload/load.go
+++ b/internal/fleetload/load.go
@@ -43,12 +43,14 @@
 	doneJobs      int
 	cancelled     int
 	broken        []string // answers that break a rule
+	bursts        burstFigures
 }
 
 func newLoad(f *loopbacktest.Fleet, c *Config) *load {
 	return &load{
 		fleet: f, config: c, random: rand.New(rand.NewPCG(c.Seed, 1)), next: firstJob, users: make(chan struct{}, mostUsers),
 		submitTime: hdrhistogram.New(1, mostLatency, 3), pollTime: hdrhistogram.New(1, mostLatency, 3), finalPollTime: hdrhistogram.New(1, mostLatency, 3),
+		bursts: burstFigures{accepted: hdrhistogram.New(1, mostLatency, 3), told: hdrhistogram.New(1, mostLatency, 3)},
 	}
 }
 
@@ -56,6 +58,8 @@
 const firstJob = 1
 
 func (l *load) newJob(shape string, tasks int) loopbacktest.Job {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	id := "job-" + submittedID(l.next)
 	team := teamName(l.next % l.config.Teams)
 	l.next++
@@ -109,6 +113,53 @@
 	}
 }
 
+// burstFigures is what the users of bursts have seen.
+type burstFigures struct {
+	accepted  *hdrhistogram.Histogram // from the first attempt to acceptance, in microseconds
+	told      *hdrhistogram.Histogram // when those who were refused were told to return, in microseconds
+	refusals  int                     // requests that were refused
+	refused   int                     // submissions that were refused at least once
+	atReturn  int                     // of those, accepted when they returned for the first time
+	abandoned int                     // never accepted
+}
+
+// burst submits so many jobs of one task at once, by users who return when they are told to, and
+// waits for the last of them.
+func (l *load) burst(jobs int) {
+	var users sync.WaitGroup
+	for range jobs {
+		j := l.newJob("sweep", 1)
+		users.Add(1)
+		go func() {
+			defer users.Done()
+			l.burstUser(j)
+		}()
+	}
+	users.Wait()
+}
+
+func (l *load) burstUser(j loopbacktest.Job) {
+	began, refusals := time.Now(), 0
+	err := l.fleet.SubmitAsUser(j, submitWithin, func(s loopbacktest.Standing) {
+		refusals++
+		l.note(func() { _ = l.bursts.told.RecordValue(min(max(s.RetryAfter.Microseconds(), 1), mostLatency)) })
+	})
+	l.note(func() {
+		l.bursts.refusals += refusals
+		if refusals > 0 {
+			l.bursts.refused++
+		}
+		if err != nil {
+			l.bursts.abandoned++
+			return
+		}
+		if refusals == 1 {
+			l.bursts.atReturn++
+		}
+		_ = l.bursts.accepted.RecordValue(min(max(time.Since(began).Microseconds(), 1), mostLatency))
+	})
+}
+
 func (l *load) note(f func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/fleetload/result.go
+++ b/internal/fleetload/result.go
@@ -36,7 +36,17 @@
 	TakeOverS      []float64                            `json:"take_over_s"`              // from the kill to the first answer
 	TakeOverLoads  []float64                            `json:"take_over_load_ms"`        // what leaders logged of loading the state
 	LeaderHeapMB   float64                              `json:"leader_heap_mb,omitempty"` // live, as the last leader logged it at debug; 0: it didn't
-	Broken         []string                             `json:"broken"`                   // rules
+	Bursts         BurstFigures                         `json:"bursts"`
+	WorkerBPerS    []float64                            `json:"worker_b_per_s"` // both directions, over tenths of the measured time
+	Broken         []string                             `json:"broken"`         // rules
+}
+
+// BurstFigures is what the users of bursts have seen.
+type BurstFigures struct {
+	Refusals  int `json:"refusals"`  // requests that were refused
+	Refused   int `json:"refused"`   // submissions that were refused at least once
+	AtReturn  int `json:"at_return"` // of those, accepted when they returned for the first time
+	Abandoned int `json:"abandoned"` // never accepted
 }
 
 // RoleFigures is what the process of a role spends.
@@ -174,6 +184,8 @@
 	fmt.Fprintf(w, "starts a second\t%.1f of %.1f asked for\n", r.StartsPerS, r.Config.StartsPerS)
 	fmt.Fprintf(w, "jobs accepted, done, cancelled, not offered\t%d, %d, %d, %d\n", r.Submitted, r.DoneJobs, r.CancelledJobs, r.NotOffered)
 	fmt.Fprintf(w, "requests that failed\t%d\n", r.FailedRequests)
+	fmt.Fprintf(w, "bursts: refused, accepted at the first return, never\t%d (%d requests), %d, %d\n", r.Bursts.Refused, r.Bursts.Refusals, r.Bursts.AtReturn, r.Bursts.Abandoned)
+	fmt.Fprintf(w, "a worker's B/s, by tenths of the time\t%.0f\n", r.WorkerBPerS)
 	fmt.Fprintf(w, "take-overs, s until answered\t%.3f\n", r.TakeOverS)
 	fmt.Fprintf(w, "state loaded, ms\t%.1f\n", r.TakeOverLoads)
 	fmt.Fprintf(w, "leader's live heap, MB\t%.1f\n\n", r.LeaderHeapMB)
--- a/internal/loopbacktest/fleet.go
+++ b/internal/loopbacktest/fleet.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -237,6 +238,8 @@
 	Standing string
 	Running  int `json:"running"`
 	Done     int `json:"done"`
+	// RetryAfter is when a user who was refused is told to come again; 0: not said.
+	RetryAfter time.Duration `json:"-"`
 }
 
 // Ask puts one request to one controller.
@@ -260,6 +263,9 @@
 		return Standing{}, fmt.Errorf("%w: %w", errUndecided, err)
 	}
 	s := Standing{Status: response.StatusCode}
+	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
+		s.RetryAfter = time.Duration(seconds) * time.Second
+	}
 	if s.Status >= http.StatusTooManyRequests {
 		return s, fmt.Errorf("%w: %d %s", errUndecided, s.Status, answer)
 	}
@@ -291,6 +297,28 @@
 	return s, err
 }
 
+// SubmitAsUser submits a job as the protocol has users do it: one that is refused returns after a second, or
+// when it is told to if that is later. refused hears of each refusal.
+func (f *Fleet) SubmitAsUser(j Job, within time.Duration, refused func(Standing)) error {
+	f.Workers.Upload(j)
+	end := time.Now().Add(within)
+	for i := int(f.nextController.Add(1)); ; i++ {
+		s, err := f.Ask(f.Controllers[i%len(f.Controllers)], http.MethodPost, "/v1/jobs", j.body())
+		switch {
+		case err == nil && s.Status != http.StatusCreated && s.Status != http.StatusOK:
+			return fmt.Errorf("job %s is answered %d", j.ID, s.Status)
+		case err == nil:
+			f.Workers.Accepted(j.ID, time.Now())
+			return nil
+		}
+		if !errors.Is(err, errUndecided) || time.Now().After(end) {
+			return err
+		}
+		refused(s)
+		time.Sleep(max(time.Second, s.RetryAfter))
+	}
+}
+
 // body is a job as it is submitted.
 func (j Job) body() map[string]any {
 	urgency := "normal"
--- a/internal/storage/compaction.go
+++ b/internal/storage/compaction.go
@@ -67,7 +67,7 @@
 func (m *compaction) move(fragments []Record) bool {
 	puts, size, room := 0, 0, m.room
 	for _, p := range fragments {
-		n := p.size()
+		n := p.Size()
 		if n > room {
 			puts, room = puts+1, m.journal.rawRoom(m.journal.compactionRatio)-2
 		}
@@ -79,7 +79,7 @@
 		return false
 	}
 	for _, p := range fragments {
-		n := p.size()
+		n := p.Size()
 		if n > m.room {
 			m.chunks = append(m.chunks[:len(m.chunks):len(m.chunks)], chunk{})
 			m.room = m.journal.rawRoom(m.journal.compactionRatio) - 2
--- a/internal/storage/compression.go
+++ b/internal/storage/compression.go
@@ -110,8 +110,8 @@
 
 // fits tells whether a record fits into a chunk whole.
 func (j *Journal) fits(r Record) bool {
-	if r.size()+2 <= j.guaranteedRoom() || !j.compress {
-		return r.size()+2 <= j.guaranteedRoom()
+	if r.Size()+2 <= j.guaranteedRoom() || !j.compress {
+		return r.Size()+2 <= j.guaranteedRoom()
 	}
 	value, err := j.encode([]Record{r})
 	return err == nil && len(value) <= j.room()
--- a/internal/storage/encoding.go
+++ b/internal/storage/encoding.go
@@ -87,7 +87,7 @@
 		return false
 	}
 	for key, e := range j.entities {
-		if r := (Record{Key: key, Data: e.data}); r.size()+2 > j.room() {
+		if r := (Record{Key: key, Data: e.data}); r.Size()+2 > j.room() {
 			return false
 		}
 	}
--- a/internal/storage/journal_write.go
+++ b/internal/storage/journal_write.go
@@ -26,8 +26,8 @@
 	return out
 }
 
-// size is what a record takes in a chunk, at the most.
-func (r *Record) size() int {
+// Size is what a record takes in a chunk, in bytes, at the most.
+func (r *Record) Size() int {
 	if r.fragment != nil {
 		return len(r.Key) + fragmentFrame + (len(r.fragment.data)+2)/3*4
 	}
@@ -57,6 +57,20 @@
 	data    json.RawMessage
 }
 
+// BytesIn is how many bytes of records are written in a time at the journal's share of the
+// changes; at the least what one transaction takes.
+func (l *Limits) BytesIn(d time.Duration) int {
+	value := valueShare * float64(l.ValueBytes)
+	transaction := min(float64(max(1, l.TxnOps/2))*value, txnBytes)
+	return int(max(transaction, changeShare*l.ChangesPerS*d.Seconds()*value))
+}
+
+// Spare is how many bytes of records may be written at once, because less than the pace was
+// written before.
+func (j *Journal) Spare() int {
+	return int(max(0, j.limiter.Tokens()) * valueShare * float64(j.limitTracker.Limits().ValueBytes))
+}
+
 // cut takes from the records as many chunks as one transaction holds.
 func (j *Journal) cut(records []Record) (chunks []chunk, rest []Record, err error) {
 	total, ops := 0, max(1, j.limits.TxnOps/2)
@@ -84,7 +98,7 @@
 func (j *Journal) howMany(records []Record) int {
 	size, limit := 2, j.rawRoom(j.compressionRatio)
 	for i := range records {
-		if size += records[i].size(); size > limit && i > 0 {
+		if size += records[i].Size(); size > limit && i > 0 {
 			return i
 		}
 	}
--- a/internal/transport/peer_server.go
+++ b/internal/transport/peer_server.go
@@ -43,7 +43,7 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	answers := make(chan peerAnswer, peerQueue)
+	answers := make(chan peerAnswer, answerQueue)
 	go func() {
 		defer cancel()
 		out := bufio.NewWriter(conn)
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -28,8 +28,8 @@
 	peerTimeout = time.Second
 	// peerPause is how long a peer that couldn't be reached is left alone.
 	peerPause = 250 * time.Millisecond
-	// peerQueue bounds the requests that wait for one peer.
-	peerQueue = 256
+	// answerQueue smooths the answers to one peer; whoever finds it full waits.
+	answerQueue = 256
 	// pingMissed is how long a link that hears nothing counts as in reach, and
 	// firstAnswer how long one that has never been heard.
 	pingMissed  = 3 * peerTimeout / 2
@@ -52,6 +52,7 @@
 type Pace struct {
 	Window time.Duration // for which what can wait is gathered
 	Pings  time.Duration // how often all links are tested
+	Queue  int           // how many requests may wait for one peer
 }
 
 // NewPeers makes the links; Run starts them.
@@ -59,7 +60,7 @@
 	p := &Peers{links: make(map[string]*link), pings: pace.Pings, log: log}
 	for _, peer := range peers {
 		l := &link{
-			self: self, addr: peer.Addr, window: pace.Window, calls: make(chan call, peerQueue), test: make(chan struct{}, 1), events: make(chan any, peerQueue),
+			self: self, addr: peer.Addr, window: pace.Window, calls: make(chan call, max(1, pace.Queue)), test: make(chan struct{}, 1), events: make(chan any, answerQueue),
 			log: log.With("peer", peer.Name), made: time.Now(),
 		}
 		p.links[peer.Name] = l
