An entity that is marked in another lane goes over to it

Change: the queue moves the entity, with the calls that wait for it, and the removals use the job's own lanes.

--- a/internal/coordination/archiving.go
+++ b/internal/coordination/archiving.go
@@ -200,13 +200,12 @@
 		d.log.Debug("nothing archived", "err", m.err)
 		return
 	}
-	removed := func() any { return nil }
 	for _, rank := range m.ranks {
 		j := d.jobs.remove(rank)
 		if j == nil {
 			continue
 		}
-		d.mark(storage.JobKey(j.spec.ID), removed)
+		d.queue.Mark(jobLane(j), storage.JobKey(j.spec.ID), removed)
 		for _, key := range j.storedPages {
 			d.mark(key, removed)
 		}
--- a/internal/coordination/commits.go
+++ b/internal/coordination/commits.go
@@ -139,3 +139,6 @@
 	}
 	d.waiters = slices.DeleteFunc(d.waiters, func(w *waiter) bool { return w.told })
 }
+
+// removed is the value of an entity that is to be removed.
+func removed() any { return nil }
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -189,7 +189,7 @@
 		d.free(a, "its machine is gone")
 	}
 	d.dropMachine(m)
-	d.mark(storage.MachineKey(id), func() any { return nil })
+	d.mark(storage.MachineKey(id), removed)
 	d.log.Info("machine gone", "machine", id, "why", why)
 	d.place = true
 }
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -118,7 +118,7 @@
 	j := d.jobs.get(id)
 	switch {
 	case j == nil && d.archiveUsed:
-		d.mark(key, func() any { return nil }) // its job was archived, and the removal cut short
+		d.mark(key, removed) // its job was archived, and the removal cut short
 	case j != nil && j.settled:
 		j.storedPages = append(j.storedPages, key)
 	}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -250,7 +250,7 @@
 		return
 	}
 	for p := 0; p*storage.PageTasks < len(j.tasks); p++ {
-		d.mark(storage.PageKey(j.spec.ID, p), func() any { return nil })
+		d.queue.Mark(pageLane(j), storage.PageKey(j.spec.ID, p), removed)
 	}
 	d.jobs.release(j)
 	d.markJob(j)
--- a/internal/groupcommit/queue.go
+++ b/internal/groupcommit/queue.go
@@ -35,7 +35,7 @@
 // lane is the entities of one lane, by the number of their first mark since they were last taken.
 type lane struct {
 	dirty   map[string]entity
-	order   []entity // oldest mark first; those taken or unmarked since are passed over
+	order   []entity // oldest mark first; those that went to another lane since are passed over
 	marked  uint64   // the number of the last mark
 	taken   uint64   // all marks up to this one are in a commit
 	durable uint64   // all marks up to this one are durable
@@ -63,7 +63,8 @@
 }
 
 // Mark notes that an entity has changed; data is asked for its value when it is written, and
-// returns nil if the entity is to be removed. An entity is always marked in the same lane.
+// returns nil if the entity is to be removed. An entity that waits in another lane goes over to
+// this one: it is written once, as it was marked last.
 func (q *Queue) Mark(in Lane, key string, data func() any) {
 	l := &q.lanes[in]
 	if old, dirty := l.dirty[key]; dirty {
@@ -75,6 +76,38 @@
 	e := entity{key: key, mark: l.marked, data: data}
 	l.dirty[key] = e
 	l.order = append(l.order, e)
+	for from := range lanes {
+		if from != in {
+			q.leave(from, key, in, e.mark)
+		}
+	}
+}
+
+// leave takes an entity out of a lane it waits in. Calls that wait for it there wait for its mark
+// in the other lane instead.
+func (q *Queue) leave(from Lane, key string, to Lane, mark uint64) {
+	left, dirty := q.lanes[from].dirty[key]
+	if !dirty {
+		return
+	}
+	delete(q.lanes[from].dirty, key)
+	for i := range q.waits {
+		if w := &q.waits[i]; w.upTo[from] >= left.mark {
+			w.upTo[to] = max(w.upTo[to], mark)
+		}
+	}
+}
+
+// pass passes over the entities at the head of a lane that have left it.
+func (l *lane) pass() {
+	for len(l.order) > 0 {
+		head := l.order[0]
+		if e, dirty := l.dirty[head.key]; dirty && e.mark == head.mark {
+			return
+		}
+		l.taken = head.mark
+		l.order = l.order[1:]
+	}
 }
 
 // Settled tells whether an entity is durable as it stands.
@@ -112,6 +145,9 @@
 		return nil, false
 	}
 	q.busy, q.writing = true, make(map[string]bool)
+	for i := range q.lanes {
+		q.lanes[i].pass()
+	}
 	var records []storage.Record
 	left := bytes
 	for _, share := range []int{bytes / max(1, waiting), bytes} { // then what the others have left
@@ -148,11 +184,13 @@
 		delete(l.dirty, e.key)
 		if err != nil {
 			failed(e.key, err)
+			l.pass()
 			continue
 		}
 		records = append(records, record)
 		q.writing[e.key] = true
 		used += record.Size()
+		l.pass()
 	}
 	return records, used
 }
--- a/internal/groupcommit/queue_test.go
+++ b/internal/groupcommit/queue_test.go
@@ -27,7 +27,8 @@
 // history is a queue beside what it should do: values that count up, and what of them is durable.
 type history struct {
 	queue            *Queue
-	values           map[string]int // the entities' present values
+	values           map[string]int  // the entities' present values
+	in               map[string]Lane // where they were marked last
 	writing, durable map[string]int
 	calls            map[int]map[string]int // what each open call waits for
 	nextCall         int
@@ -35,8 +36,8 @@
 }
 
 func (h *history) mark(in Lane, key string) {
-	key = fmt.Sprint(in, key)
 	h.values[key]++
+	h.in[key] = in
 	h.queue.Mark(in, key, func() any { return h.values[key] })
 }
 
@@ -44,7 +45,7 @@
 func (h *history) await(t *rapid.T, in ...Lane) {
 	waits := make(map[string]int)
 	for key, v := range h.values {
-		if slices.ContainsFunc(in, func(l Lane) bool { return strings.HasPrefix(key, fmt.Sprint(l)) }) {
+		if slices.Contains(in, h.in[key]) {
 			waits[key] = v
 		}
 	}
@@ -99,7 +100,7 @@
 // it waits for is durable and not before, and nothing is left behind.
 func TestCallsComeWhenAllTheyWaitForIsDurable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		h := &history{queue: New(), values: map[string]int{}, durable: map[string]int{}, calls: map[int]map[string]int{}}
+		h := &history{queue: New(), values: map[string]int{}, in: map[string]Lane{}, durable: map[string]int{}, calls: map[int]map[string]int{}}
 		t.Repeat(map[string]func(*rapid.T){
 			"mark": func(t *rapid.T) {
 				h.mark(Lane(rapid.IntRange(0, int(lanes)-1).Draw(t, "lane")), rapid.StringMatching("[a-f]").Draw(t, "key"))
