The rate of a class's arrivals isn't bounded by what is kept of them

Cause: of each class the last 512 arrivals are kept, and the rate divided those by its whole window of eight leases: beyond some 2.5 jobs a second of a class the rate stood still, and with it the room kept for it. Change: where more come than are kept, the window is the time that they cover.

--- a/internal/coordination/bounds_test.go
+++ b/internal/coordination/bounds_test.go
@@ -177,3 +177,21 @@
 		}
 	})
 }
+
+// The rate of a class's arrivals is as high as it is, however many come within its window.
+func TestTheRateOfArrivalsHasNoBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, perS := range []int{1, 20} {
+			d := newTestDispatcher(t, grownSettings())
+			d.accept(arrayJob("000000", 1))
+			time.Sleep(2 * d.settings.Lease)
+			for i := range 100 * perS {
+				time.Sleep(time.Second / time.Duration(perS))
+				d.accept(arrayJob(fmt.Sprintf("%06d", i+1), 1))
+			}
+			if tasks, _, window := d.rate(d.classes["sweep"], time.Now()); tasks/window < 0.6*float64(perS) || tasks/window > 1.1*float64(perS) {
+				t.Errorf("%.0f tasks in %.1f s of %d a second", tasks, window, perS)
+			}
+		}
+	})
+}
--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -79,7 +79,8 @@
 	return append(list, a)
 }
 
-// arrivalsKept bounds what is kept of a class's arrivals.
+// arrivalsKept bounds what is kept of a class's arrivals. Where more come within the window of
+// the rate, the window is shorter.
 const arrivalsKept = 512
 
 // ran takes a finished task's run time, and what its owner had expected, into
@@ -177,6 +178,9 @@
 	if now.Sub(since) < d.settings.Lease {
 		return 0, 0, 0
 	}
+	if len(c.arrivals) == arrivalsKept && c.arrivals[0].at.After(since) {
+		since = c.arrivals[0].at // more came than are kept: they cover less time
+	}
 	for _, a := range c.arrivals {
 		if a.at.After(since) {
 			tasks += float64(a.tasks)
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -222,12 +222,12 @@
 			t.Errorf("%s is taken as %+v", raw, got)
 		}
 	}
-	for _, bad := range []string{"job-000412/x", "running!", "host-231", `"Ride":0`, `"Tally":-1`} {
+	for _, bad := range []string{"job-000412/x", "running!", "host-231", "host-99999999999999999999999", "host--00001", `"Ride":0`, `"Tally":-1`} {
 		raw := good
 		switch bad {
 		case "running!":
 			raw = strings.Replace(good, "running", bad, 1)
-		case "host-231":
+		case "host-231", "host-99999999999999999999999", "host--00001":
 			raw = strings.Replace(good, "host-000231", bad, 1)
 		case `"Ride":0`:
 			raw = strings.Replace(good, `"Ride":1`, bad, 1)
