--- a/internal/coordination/bounds.go
+++ b/internal/coordination/bounds.go
@@ -6,7 +6,7 @@
 // is listed in docs/limits.md with what happens where it is reached.
 
 // leastQueue is the least that the queues of a node's actors hold.
-const leastQueue = 1024
+const leastQueue = 2048
 
 // QueueSize is how many requests the queues of a node's actors hold. Every accepted connection
 // brings one request at a time, and so does every exchange with a worker or a peer, each of
@@ -17,8 +17,8 @@
 // questionShare when a question or a cancellation does: the rest is left for the workers' reports,
 // without which leases end.
 const (
-	submissionShare = 1.0 / 2
-	questionShare   = 3.0 / 4
+	submissionShare = 3.0 / 4
+	questionShare   = 7.0 / 8
 )
 
 // admits tells whether a user's request may join what waits for the dispatcher.
