Statistics of a class of jobs are a pure package of their own

Cause: arrivals, departures and run times lay among the dispatcher's methods, and the same reckoning of what comes within a time stood three times.

--- a/internal/coordination/bounds_test.go
+++ b/internal/coordination/bounds_test.go
@@ -189,8 +189,8 @@
 				time.Sleep(time.Second / time.Duration(perS))
 				d.accept(arrayJob(fmt.Sprintf("%06d", i+1), 1))
 			}
-			if tasks, _, window := d.rate(d.classes["sweep"], time.Now()); tasks/window < 0.6*float64(perS) || tasks/window > 1.1*float64(perS) {
-				t.Errorf("%.0f tasks in %.1f s of %d a second", tasks, window, perS)
+			if r := d.rate(d.classes["sweep"], time.Now()); r.Tasks/r.WindowS < 0.6*float64(perS) || r.Tasks/r.WindowS > 1.1*float64(perS) {
+				t.Errorf("%+v of %d a second", r, perS)
 			}
 		}
 	})
--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -4,29 +4,18 @@
 	"math"
 	"time"
 
+	"sagevale/internal/classstats"
 	"sagevale/internal/storage"
 )
 
-// class keeps what arrivals and run times of a class of jobs look like.
+// class is what is known of a class of jobs.
 type class struct {
-	last     *job
-	arrivals []arrival
-	leaves   []arrival // services that were cancelled, likewise
-	runS     float64   // mean run time of its tasks, as seen
-	guessS   float64   // mean of what their owners had expected
+	classstats.Class
+	last *job
 }
 
-type arrival struct {
-	at    time.Time
-	tasks int
-}
-
-const (
-	// rateLeases is the window of the arrival rate, in worker leases.
-	rateLeases = 8.0
-	// runWeight is the weight of the latest run time in a class's mean.
-	runWeight = 0.05
-)
+// rateLeases is the window of the arrival rate, in worker leases.
+const rateLeases = 8.0
 
 // arrival notes a job of its class. What comes within a lease of the first job
 // ever is the fleet's start, not a rate.
@@ -40,84 +29,34 @@
 		d.firstJob = j.submitted
 	}
 	c.last = j
-	c.arrivals = keepLast(c.arrivals, arrival{j.submitted, j.spec.Tasks})
+	c.Arrived(j.submitted, j.spec.Tasks)
 }
 
 // leave notes that a job of its class has been cancelled.
 func (d *dispatcher) leave(j *job, now time.Time) {
 	if c := d.classes[j.spec.Class]; c != nil {
-		c.leaves = keepLast(c.leaves, arrival{now, j.spec.Tasks})
-	}
-}
-
-// left counts the tasks of the jobs that have left since.
-func (c *class) left(since time.Time) float64 {
-	n := 0
-	for _, a := range c.leaves {
-		if a.at.After(since) {
-			n += a.tasks
-		}
-	}
-	return float64(n)
-}
-
-// elsewhere is the share of the class's tasks that spread jobs must have in
-// another zone than their first.
-func (c *class) elsewhere() float64 {
-	all, half := 0, 0
-	for _, a := range c.arrivals {
-		all += a.tasks
-		half += a.tasks / 2
-	}
-	return float64(half) / float64(max(all, 1))
-}
-
-func keepLast(list []arrival, a arrival) []arrival {
-	if len(list) >= arrivalsKept {
-		list = list[1:]
+		c.Departed(now, j.spec.Tasks)
 	}
-	return append(list, a)
 }
 
-// arrivalsKept bounds what is kept of a class's arrivals. Where more come within the window of
-// the rate, the window is shorter.
-const arrivalsKept = 512
-
 // ran takes a finished task's run time, and what its owner had expected, into
 // its class's means.
 func (d *dispatcher) ran(a *attempt, now time.Time) {
-	c := d.classes[a.job.spec.Class]
-	if c == nil || a.started.IsZero() {
-		return
-	}
-	run, guess := now.Sub(a.started).Seconds(), a.job.spec.EstimateS
-	if c.runS == 0 {
-		c.runS, c.guessS = run, guess
+	if c := d.classes[a.job.spec.Class]; c != nil && !a.started.IsZero() {
+		c.Ran(now.Sub(a.started).Seconds(), a.job.spec.EstimateS)
 	}
-	c.runS += runWeight * (run - c.runS)
-	c.guessS += runWeight * (guess - c.guessS)
 }
 
-// runTime is how long a task of the job runs: between what its class usually
-// runs and what its owner expects, for owners are often wrong by half.
+// runTime is how long a task of the job runs, in seconds.
 func (d *dispatcher) runTime(j *job) float64 {
-	c, guess := d.classes[j.spec.Class], j.spec.EstimateS
-	switch {
-	case c == nil || c.runS <= 0:
-		return guess
-	case guess <= 0 || c.guessS <= 0:
-		return c.runS
+	if c := d.classes[j.spec.Class]; c != nil {
+		return c.RunS(j.spec.EstimateS)
 	}
-	return c.runS * math.Sqrt(guess/c.guessS)
+	return j.spec.EstimateS
 }
 
-// usualRun is how long a task of the class usually runs.
-func (d *dispatcher) usualRun(c *class) float64 {
-	if c.runS > 0 {
-		return c.runS
-	}
-	return c.last.spec.EstimateS
-}
+// usualRun is how long a task of the class usually runs, in seconds.
+func (c *class) usualRun() float64 { return c.MeanRunS(c.last.spec.EstimateS) }
 
 // headroom is how many tasks of the class to keep room for. Of services, those
 // expected to come while a machine boots beyond those that leave, and some headroom. Of other work of
@@ -132,19 +71,16 @@
 	if s.Priority < storage.High && !(batch && s.Spot && (s.Priority >= storage.Normal || s.DeadlineS > 0)) {
 		return 0
 	}
-	tasks, squares, window := d.rate(c, now)
-	if window == 0 || d.present(s.Class) == 0 {
+	rate := d.rate(c, now)
+	if rate.WindowS == 0 || d.present(s.Class) == 0 {
 		return 0 // no rate yet, or a class that has ceased
 	}
-	luck := d.settings.Tuning.HeadroomDeviations
+	deviations := d.settings.Tuning.HeadroomDeviations
 	if batch {
-		run := d.usualRun(c) / window
-		usual := tasks*run + luck*math.Sqrt(squares*run)
-		return max(0, int(usual)-d.present(s.Class))
+		return max(0, int(rate.Expected(c.usualRun(), deviations))-d.present(s.Class))
 	}
-	boot := d.leastBoot(c.last) / window
-	stay := max(0, tasks-c.left(now.Add(-seconds(window))))
-	return int(math.Ceil(stay*boot + luck*math.Sqrt(squares*boot) - 0.5))
+	rate.Tasks = max(0, rate.Tasks-float64(c.DepartedSince(now.Add(-seconds(rate.WindowS)))))
+	return int(math.Ceil(rate.Expected(d.leastBoot(c.last), deviations) - 0.5))
 }
 
 // gangBoots: gangs that are to start within so many boots find room that is kept
@@ -155,39 +91,24 @@
 // usual number exceeds the present one by, and at the least the largest gang of late.
 func (d *dispatcher) gangHeadroom(c *class, now time.Time) int {
 	within := d.settings.startWithin(c.last.spec.Class)
-	tasks, squares, window := d.rate(c, now)
-	if within <= 0 || within.Seconds() >= gangBoots*d.leastBoot(c.last) || window == 0 || tasks == 0 {
+	rate := d.rate(c, now)
+	if within <= 0 || within.Seconds() >= gangBoots*d.leastBoot(c.last) || rate.WindowS == 0 || rate.Tasks == 0 {
 		return 0
 	}
-	run := d.usualRun(c) / window
-	usual := tasks*run + d.settings.Tuning.HeadroomDeviations*math.Sqrt(squares*run)
-	largest := 0
-	for _, a := range c.arrivals {
-		largest = max(largest, a.tasks)
-	}
-	return max(largest, int(usual)-d.present(c.last.spec.Class))
+	usual := rate.Expected(c.usualRun(), d.settings.Tuning.HeadroomDeviations)
+	return max(c.LargestJob(), int(usual)-d.present(c.last.spec.Class))
 }
 
-// rate counts a class's tasks, and the sum of their jobs' squares, that came
-// within a window of so many seconds. The window is 0 until there is one.
-func (d *dispatcher) rate(c *class, now time.Time) (tasks, squares, window float64) {
+// rate is that of a class's arrivals within the window.
+func (d *dispatcher) rate(c *class, now time.Time) classstats.Rate {
 	since := now.Add(-scale(d.settings.Lease, rateLeases))
 	if start := d.firstJob.Add(d.settings.Lease); start.After(since) {
 		since = start
 	}
 	if now.Sub(since) < d.settings.Lease {
-		return 0, 0, 0
-	}
-	if len(c.arrivals) == arrivalsKept && c.arrivals[0].at.After(since) {
-		since = c.arrivals[0].at // more came than are kept: they cover less time
-	}
-	for _, a := range c.arrivals {
-		if a.at.After(since) {
-			tasks += float64(a.tasks)
-			squares += float64(a.tasks * a.tasks)
-		}
+		return classstats.Rate{}
 	}
-	return tasks, squares, now.Sub(since).Seconds()
+	return c.RateSince(since, now)
 }
 
 // onFullest counts by class the services on the machine whose loss would cost
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -94,7 +94,7 @@
 func (d *dispatcher) headroomFor(c *class, n int) []*demand {
 	var out []*demand
 	if zones := d.zonesFor(c.last); c.last.spec.Spread && len(zones) > 1 {
-		each := int(math.Round(c.elsewhere() * float64(n)))
+		each := int(math.Round(c.SecondZoneShare() * float64(n)))
 		for _, z := range zones {
 			if each == 0 {
 				break
--- a/internal/coordination/packing.go
+++ b/internal/coordination/packing.go
@@ -156,11 +156,11 @@
 		if c.last.spec.Service {
 			continue
 		}
-		tasks, _, window := d.rate(c, now)
-		if window == 0 {
+		rate := d.rate(c, now)
+		if rate.WindowS == 0 {
 			return math.Inf(1)
 		}
-		n += tasks / window * d.usualRun(c)
+		n += rate.Expected(c.usualRun(), 0)
 	}
 	return n
 }
