--- a/internal/coordination/leader_gap_test.go
+++ b/internal/coordination/leader_gap_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sagevale/internal/storage"
+	"sagevale/internal/storage/storagetest"
 )
 
 // The gap: the state service refuses the leader alone, another node takes over
@@ -67,3 +68,46 @@
 		}
 	}
 }
+
+// A leader that is still loading the state answers nobody, neither of jobs that it will know nor of
+// one that nobody submitted.
+func TestNobodyIsAnsweredBeforeTheStateIsLoaded(t *testing.T) {
+	inSimulation(t, func(sim *simulation) {
+		sim.submit(service("000001", 1))
+		sim.runs("000001", 1)
+		sim.state.Trouble(func(s *storagetest.Service) { s.Slow = 150 * time.Millisecond })
+		sim.awaitLeader().kill()
+		loading := 0
+		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			leads, loaded := false, false
+			for _, n := range sim.nodes {
+				if live := n.live.Load(); live != nil {
+					v := live.view.Load()
+					leads, loaded = leads || v.role.Leading, loaded || v.dispatcher != nil
+				}
+			}
+			if loaded {
+				break
+			}
+			if leads {
+				loading++
+			}
+			for _, n := range sim.nodes {
+				live := n.live.Load()
+				if live == nil || live.view.Load().dispatcher != nil {
+					continue
+				}
+				for _, id := range []string{"000001", "999999"} {
+					if a := live.Local(t.Context(), UserRequest{Op: OpPoll, ID: id}); a.decided() {
+						t.Fatalf("%s answers %+v with nothing loaded", n.name, a)
+					}
+				}
+			}
+		}
+		if loading == 0 {
+			t.Error("no leader was seen loading")
+		}
+		sim.state.Trouble(func(s *storagetest.Service) { s.Slow = 0 })
+		sim.runs("000001", 1)
+	})
+}
