--- a/internal/coordination/bounds_test.go
+++ b/internal/coordination/bounds_test.go
@@ -178,6 +178,32 @@
 	})
 }
 
+// A cancellation doesn't wait behind a flood of acceptances, also where the job's record waits among them.
+func TestACancellationIsRecordedBesideAFlood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(t, grownSettings())
+		j := d.accept(arrayJob("900000", 1))
+		for i := range 5000 {
+			d.markJob(d.accept(arrayJob(fmt.Sprintf("%06d", i), 1)))
+		}
+		d.markJob(j) // for something else, at the end of the lane
+		reply := make(chan Answer, 1)
+		d.handleUser(userMsg{req: UserRequest{Op: OpCancel, ID: "900000"}, reply: reply})
+		if _, ok := d.queue.Next(d.settings.commitBytes(), func(key string, err error) { t.Error(key, err) }); !ok {
+			t.Fatal("nothing to write")
+		}
+		d.handleCommitted(nil)
+		select {
+		case a := <-reply:
+			if a.State != StateCancelled {
+				t.Errorf("answered %+v", a)
+			}
+		default:
+			t.Error("the cancellation waits for the flood")
+		}
+	})
+}
+
 // The rate of a class's arrivals is as high as it is, however many come within its window.
 func TestTheRateOfArrivalsHasNoBound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/coordination/commits.go
+++ b/internal/coordination/commits.go
@@ -48,9 +48,10 @@
 // urgent tells whether a job's records don't wait behind those of others.
 func (j *job) urgent() bool { return j.spec.Priority >= storage.High }
 
-// jobLane is the lane of a job's own record.
+// jobLane is the lane of a job's own record. A cancelled job's tasks run to nobody's use, so it
+// doesn't wait behind acceptances.
 func jobLane(j *job) groupcommit.Lane {
-	if j.urgent() {
+	if j.urgent() || j.phase == storage.Cancelled {
 		return groupcommit.Urgent
 	}
 	return groupcommit.Prompt
@@ -134,7 +135,7 @@
 	took := time.Since(d.commitAt)
 	d.commitAt = time.Time{}
 	d.accepted = 0
-	if full := d.queue.Committed(err); full {
+	if full := d.queue.Committed(err); full && !d.journal.HasSavings() {
 		d.admission.Measured(d.accepted, took)
 	}
 	d.waiters = slices.DeleteFunc(d.waiters, func(w *waiter) bool { return w.told })
--- a/internal/storage/journal_write.go
+++ b/internal/storage/journal_write.go
@@ -71,6 +71,12 @@
 	return int(max(0, j.limiter.Tokens()) * valueShare * float64(j.limitTracker.Limits().ValueBytes))
 }
 
+// HasSavings tells whether a transaction's changes could be made at once: commits come at their
+// own pace then, and not at that of the changes.
+func (j *Journal) HasSavings() bool {
+	return j.limiter.Tokens() >= float64(j.limitTracker.Limits().TxnOps)
+}
+
 // cut takes from the records as many chunks as one transaction holds.
 func (j *Journal) cut(records []Record) (chunks []chunk, rest []Record, err error) {
 	total, ops := 0, max(1, j.limits.TxnOps/2)
