--- /dev/null
+++ b/internal/activation/model_test.go
@@ -0,0 +1,389 @@
+package activation
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// The model is one model's record in a store with revisions, leaders that may end at any moment
+// and whose writes may be lost, unanswered or late, machines that carry starts out late, and nodes
+// that pass requests on by a view of the record that may be old.
+
+// write is a conditional write on its way.
+type write struct {
+	term, revision int
+	record         Record
+}
+
+// instance is a replica on its machine.
+type instance struct {
+	generation uint64
+	attempt    int
+}
+
+// node passes requests on while it believes that the model is ready.
+type node struct {
+	view    Record
+	drained uint64 // the last drain that it has acknowledged
+	read    time.Time
+}
+
+// nodeLease is for how long a node goes by what it has read.
+const nodeLease = 10 * time.Second
+
+func (n *node) passesOn(now time.Time) bool {
+	return now.Sub(n.read) < nodeLease && n.view.State == Ready && n.view.Drain >= n.drained
+}
+
+func (n *node) readRecord(r Record, now time.Time) { n.view, n.read = r, now }
+
+type world struct {
+	now      time.Time
+	policy   Policy
+	record   Record
+	revision int
+	term     int
+	view     Record // the leader's, with the revision that it was read at
+	viewed   int
+	late     []write
+	live     map[instance]bool
+	gone     map[instance]bool // proved gone: a start that comes late is void
+	ordered  []instance        // starts on their way, again and again
+	nodes    []*node
+	acks     map[uint64]map[int]bool // who has acknowledged a drain
+	observed []Event                 // all that was ever seen, which may be told again late
+	starts   map[uint64]int          // replicas that answered, of each generation
+	faults   []string
+	// transition is Apply; the tests of the model put in ones that are wrong.
+	transition func(Record, Event, *Policy, time.Time) (Record, Action)
+}
+
+func newWorld() *world {
+	w := &world{
+		now:    time.UnixMilli(1e12),
+		policy: Policy{IdleWindow: 10 * time.Second, StartWithin: 20 * time.Second, Attempts: 3, Backoff: time.Second, Cooldown: 30 * time.Second, DrainTimeout: 15 * time.Second},
+		live:   map[instance]bool{}, gone: map[instance]bool{}, acks: map[uint64]map[int]bool{}, starts: map[uint64]int{},
+		transition: Record.Apply,
+	}
+	for range 3 {
+		w.nodes = append(w.nodes, &node{})
+	}
+	w.lead()
+	return w
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+// lead begins a term: the leader reads the record and goes on with what is pending.
+func (w *world) lead() {
+	w.term++
+	w.view, w.viewed = w.record, w.revision
+	w.act(w.view.Pending(w.now))
+}
+
+// store carries a write out, if nothing bars it.
+func (w *world) store(t write) bool {
+	if t.term != w.term || t.revision != w.revision {
+		return false
+	}
+	if t.record.Generation != w.record.Generation && t.record.Generation != w.record.Generation+1 {
+		w.fault("generation %d follows %d", t.record.Generation, w.record.Generation)
+	}
+	raw, err := json.Marshal(t.record)
+	if err != nil {
+		w.fault("not encoded: %v", err)
+	}
+	if back, err := Decode("model", raw); err != nil || !reflect.DeepEqual(back, t.record) {
+		w.fault("%+v is read as %+v, %v", t.record, back, err)
+	}
+	w.record = t.record
+	w.revision++
+	return true
+}
+
+// The fates of a write.
+const (
+	answered = iota
+	lost
+	unanswered
+	delayed
+	fates
+)
+
+// happen has the leader take in an event, and its write meet a fate.
+func (w *world) happen(e Event, fate int) {
+	w.observed = append(w.observed, e)
+	next, action := w.transition(w.view, e, &w.policy, w.now)
+	if reflect.DeepEqual(next, w.view) {
+		w.act(action)
+		return
+	}
+	t := write{w.term, w.viewed, next}
+	switch fate {
+	case answered:
+		if w.store(t) {
+			w.view, w.viewed = w.record, w.revision
+			w.act(action)
+			return
+		}
+	case unanswered:
+		w.store(t)
+	case delayed:
+		w.late = append(w.late, t)
+	}
+	w.lead() // whose write isn't answered gives its lead up
+}
+
+// act carries an action out: starts and stops go through the ordinary path, which
+// starts nothing that was proved gone.
+func (w *world) act(a Action) {
+	r := &w.view
+	if (a == Start || a == Stop) && r.Replica == nil {
+		w.fault("nothing is booked, and it is to start or stop")
+		return
+	}
+	switch a {
+	case Start:
+		w.ordered = append(w.ordered, instance{r.Generation, r.Replica.Attempt})
+	case Stop:
+		delete(w.live, instance{r.Generation, r.Replica.Attempt})
+	case Book, Drain, Nothing:
+	}
+}
+
+// arrive has a start that was ordered reach its machine, maybe not for the first time.
+func (w *world) arrive(i instance) {
+	if w.gone[i] || w.live[i] {
+		return
+	}
+	w.live[i] = true
+	if len(w.live) > 1 {
+		w.fault("two replicas at once: %v", w.live)
+	}
+}
+
+// prove has the place of the leader's replica be proved empty; then no start of it counts.
+func (w *world) prove(fate int) {
+	if r := w.view.Replica; r != nil {
+		i := instance{w.view.Generation, r.Attempt}
+		delete(w.live, i)
+		w.gone[i] = true
+		w.happen(Gone{i.generation, i.attempt}, fate)
+	}
+}
+
+func (w *world) answer(fate int) {
+	for i := range w.live {
+		w.happen(Answering{i.generation, i.attempt}, fate)
+		return
+	}
+}
+
+// request is a user's request at a node.
+func (w *world) request(n *node, fate int) {
+	if !n.passesOn(w.now) {
+		w.happen(Demand{n.view.Generation}, fate)
+		return
+	}
+	if r := w.record; r.State == Stopping || r.Generation != n.view.Generation || r.State == Idle {
+		w.fault("a request is passed on to generation %d, and the record is %s", n.view.Generation, r)
+	}
+}
+
+// acknowledge has a node stop passing requests on, and say so.
+func (w *world) acknowledge(i int) {
+	n := w.nodes[i]
+	if w.record.State == Draining {
+		n.readRecord(w.record, w.now)
+		n.drained = w.record.Drain
+	}
+	if n.drained == 0 {
+		return
+	}
+	if w.acks[n.drained] == nil {
+		w.acks[n.drained] = map[int]bool{}
+	}
+	w.acks[n.drained][i] = true
+	if len(w.acks[n.drained]) == len(w.nodes) {
+		w.happen(Drained{n.drained}, answered)
+	}
+}
+
+// step takes one step, drawn by choose, which returns a number below n.
+func (w *world) step(choose func(n int) int) {
+	fate := answered
+	if choose(6) == 0 {
+		fate = choose(fates)
+	}
+	w.now = w.now.Add(time.Duration(choose(4000)) * time.Millisecond)
+	i := choose(len(w.nodes))
+	switch choose(14) {
+	case 0, 1:
+		w.request(w.nodes[i], fate)
+	case 2:
+		w.nodes[i].readRecord(w.record, w.now)
+	case 3:
+		if w.view.Replica == nil {
+			w.happen(Booked{w.view.Generation, choose(5), 1}, fate)
+		}
+	case 4, 5:
+		if len(w.ordered) > 0 {
+			w.arrive(w.ordered[choose(len(w.ordered))])
+		}
+	case 6, 7:
+		w.answer(fate)
+	case 8:
+		if w.view.Abandoned || w.view.State == Stopping || choose(4) == 0 {
+			w.prove(fate)
+		}
+	case 9:
+		w.happen(Quiet{w.view.Generation, w.now.Add(-w.policy.IdleWindow)}, fate)
+	case 10:
+		w.acknowledge(i)
+	case 11:
+		w.happen(Tick{}, fate)
+	case 12:
+		if len(w.late) > 0 {
+			w.store(w.late[choose(len(w.late))])
+		}
+	case 13:
+		switch choose(6) {
+		case 0:
+			w.lead()
+		case 1:
+			if len(w.observed) > 0 {
+				w.happen(w.observed[choose(len(w.observed))], fate)
+			}
+		}
+	}
+}
+
+// rest lets the model come to rest: nobody asks any more, and everything goes well.
+func (w *world) rest() {
+	w.late = nil
+	for range 60 {
+		w.now = w.now.Add(15 * time.Second)
+		switch w.view.State {
+		case Starting:
+			if w.happen(Tick{}, answered); w.view.Abandoned {
+				w.prove(answered)
+			} else if w.view.Replica == nil {
+				w.happen(Booked{w.view.Generation, 1, 1}, answered)
+			} else {
+				w.arrive(instance{w.view.Generation, w.view.Replica.Attempt})
+				w.answer(answered)
+			}
+		case Ready:
+			w.happen(Quiet{w.view.Generation, w.now.Add(-w.policy.IdleWindow)}, answered)
+		case Draining:
+			for i := range w.nodes {
+				w.acknowledge(i)
+			}
+		case Stopping:
+			w.prove(answered)
+		case Idle, Failed, "":
+			return
+		}
+	}
+	w.fault("never at rest: %s", w.record)
+}
+
+// Whatever happens in whichever order: at most one replica at a time, generations grow by one, no
+// request goes to what is being stopped, every record is read as it was written, and the
+// model comes to rest.
+func TestOneReplicaWhateverHappens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		t.Repeat(map[string]func(*rapid.T){
+			"step": func(t *rapid.T) {
+				w.step(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") })
+			},
+			"": func(t *rapid.T) {
+				if len(w.faults) > 0 {
+					t.Fatal(w.faults[0])
+				}
+			},
+		})
+		if w.rest(); len(w.faults) > 0 {
+			t.Fatal(w.faults[0])
+		}
+	})
+}
+
+// history plays a long history, with the transitions changed.
+func history(seed uint64, change func(Record, Event, *Policy, time.Time) (Record, Action)) *world {
+	random := rand.New(rand.NewPCG(seed, 2))
+	w := newWorld()
+	w.transition = change
+	for range 4000 {
+		if w.step(random.IntN); len(w.faults) > 0 {
+			break
+		}
+	}
+	return w
+}
+
+// The model finds the faults of lifecycles that lack a guard.
+func TestTheModelFindsWhatLacksAGuard(t *testing.T) {
+	for name, wrong := range map[string]func(r Record, e Event, p *Policy, now time.Time) (Record, Action){
+		"another replica before the old one is proved gone": func(r Record, e Event, p *Policy, now time.Time) (Record, Action) {
+			if next, action := r.Apply(e, p, now); !next.Abandoned {
+				return next, action
+			}
+			r.Replica = nil
+			return r.enter(Starting, now), Book
+		},
+		"demand for an earlier generation wakes": func(r Record, e Event, p *Policy, now time.Time) (Record, Action) {
+			if _, demand := e.(Demand); demand && r.State == Stopping {
+				return r.wake(now)
+			}
+			return r.Apply(e, p, now)
+		},
+		"the word on an earlier drain counts": func(r Record, e Event, p *Policy, now time.Time) (Record, Action) {
+			if _, drained := e.(Drained); drained && r.State == Draining {
+				return r.enter(Stopping, now), Stop
+			}
+			return r.Apply(e, p, now)
+		},
+		"it stops without asking the nodes": func(r Record, e Event, p *Policy, now time.Time) (Record, Action) {
+			if next, action := r.Apply(e, p, now); next.State != Draining {
+				return next, action
+			}
+			return r.enter(Stopping, now), Stop
+		},
+		"the word on an earlier replica counts": func(r Record, e Event, p *Policy, now time.Time) (Record, Action) {
+			if gone, ok := e.(Gone); ok && r.Replica != nil {
+				gone.Generation, gone.Attempt = r.Generation, r.Replica.Attempt
+				e = gone
+			}
+			return r.Apply(e, p, now)
+		},
+	} {
+		found := 0
+		for seed := range uint64(60) {
+			found += len(history(seed, wrong).faults)
+		}
+		if found == 0 {
+			t.Errorf("not found: %s", name)
+		}
+	}
+	wakes := uint64(0)
+	for seed := range uint64(20) {
+		w := history(seed, Record.Apply)
+		if len(w.faults) > 0 {
+			t.Errorf("seed %d: %s", seed, w.faults[0])
+		}
+		wakes += w.record.Generation
+	}
+	if wakes < 200 {
+		t.Errorf("only %d wakes in all: too few to show anything", wakes)
+	}
+}
