--- a/internal/activation/transition.go
+++ b/internal/activation/transition.go
@@ -206,7 +206,7 @@
 	switch {
 	case r.State == Starting && r.Replica == nil && r.rests(now) == 0:
 		return r, Book
-	case r.State == Starting && r.Replica != nil && !r.Abandoned && age > p.StartWithin:
+	case r.State == Starting && r.Replica != nil && age > p.StartWithin:
 		r.Abandoned = true
 		return r, Stop
 	case r.State == Draining && age > p.DrainTimeout:
