--- a/internal/coordination/bounds_test.go
+++ b/internal/coordination/bounds_test.go
@@ -203,21 +203,3 @@
 		}
 	})
 }
-
-// The rate of a class's arrivals is as high as it is, however many come within its window.
-func TestTheRateOfArrivalsHasNoBound(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		for _, perS := range []int{1, 20} {
-			d := newTestDispatcher(t, grownSettings())
-			d.accept(arrayJob("000000", 1))
-			time.Sleep(2 * d.settings.Lease)
-			for i := range 100 * perS {
-				time.Sleep(time.Second / time.Duration(perS))
-				d.accept(arrayJob(fmt.Sprintf("%06d", i+1), 1))
-			}
-			if r := d.rate(d.classes["sweep"], time.Now()); r.Tasks/r.WindowS < 0.6*float64(perS) || r.Tasks/r.WindowS > 1.1*float64(perS) {
-				t.Errorf("%+v of %d a second", r, perS)
-			}
-		}
-	})
-}
