The relay's queue stays as long as a few batches

Cause: with a queue as long as there are sockets, reports that the relay can't carry wait for their time instead of being answered by delegation at once.

--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -31,6 +31,9 @@
 	relayFragments = 4
 	// relayTimeout is how long the answers to a batch may take.
 	relayTimeout = 2 * time.Second
+	// relayQueue bounds what waits for the next batch: what a few batches carry before those
+	// who wait give up. What is refused is answered by delegation at once, or elsewhere.
+	relayQueue = 512
 	// relayItemBytes is the most that one item of a batch takes: a request's body.
 	relayItemBytes = 64 << 10
 )
--- a/internal/coordination/relay_client.go
+++ b/internal/coordination/relay_client.go
@@ -33,7 +33,7 @@
 
 func newRelayClient(s *Settings, deps Deps, limitTracker *storage.LimitTracker) *relayClient {
 	return &relayClient{
-		limitTracker: limitTracker, settings: s, svc: deps.State, log: deps.Log, in: make(chan queuedRequest, s.QueueSize()), processID: deps.Rand.Uint64(),
+		limitTracker: limitTracker, settings: s, svc: deps.State, log: deps.Log, in: make(chan queuedRequest, relayQueue), processID: deps.Rand.Uint64(),
 		limiter: relayLimiter(s),
 	}
 }
