Opportunistic work takes what is idle, and rents only machines that are cheap for it

Change: best-effort work that nobody has stated an aim for, of a team without a guarantee, comes last, shares evenly, leaves the kept room, rents within twice the least price of a place (any price for the first place after two leases), makes way for guaranteed work, keeps no dear machine.

--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -13,16 +13,19 @@
 type demand struct {
 	job      *job
 	zones    zoneCheck
-	n        int
+	n        int     // tasks left to pack
 	headroom bool    // room to keep, not a task
-	runS     float64 // run time of a task of other work than services
+	runS     float64 // run time of a task of other work than services; 0 for opportunistic work, which isn't hurried
+
+	opportunistic bool // only machines that are cheap for it are rented
 }
 
-// demands lists the waiting tasks, most urgent first, then the room to keep.
+// demands lists the waiting tasks, most urgent first, then the room to keep, and opportunistic
+// work last.
 func (d *dispatcher) demands(now time.Time) []*demand {
 	waiting := d.waitingJobs(now)
 	d.byUrgency(waiting, now)
-	var out []*demand
+	var out, opportunistic []*demand
 	teams := make(map[string]storage.Room)
 	for _, j := range waiting {
 		team := d.settings.team(j.spec.Team)
@@ -42,14 +45,31 @@
 			}
 			teams[j.spec.Team] = teams[j.spec.Team].Plus(j.spec.Room)
 		}
-		if n > 0 {
-			dm := &demand{job: j, zones: newZoneCheck(j), n: n}
-			if !j.spec.Service {
-				dm.runS = d.runTime(j)
-			}
-			out = append(out, dm)
+		if n == 0 {
+			continue
+		}
+		dm := &demand{job: j, zones: newZoneCheck(j), n: n}
+		if d.settings.opportunistic(&j.spec) {
+			dm.opportunistic = true
+			opportunistic = append(opportunistic, dm)
+			continue
+		}
+		if !j.spec.Service {
+			dm.runS = d.runTime(j)
 		}
+		out = append(out, dm)
+	}
+	d.keptRoom = d.headroomDemands(now)
+	for _, kept := range d.keptRoom {
+		packed := *kept // packing counts it down
+		out = append(out, &packed)
 	}
+	return append(out, opportunistic...)
+}
+
+// headroomDemands lists the room to keep, class by class.
+func (d *dispatcher) headroomDemands(now time.Time) []*demand {
+	var out []*demand
 	names := make([]string, 0, len(d.classes))
 	for n := range d.classes {
 		names = append(names, n)
--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -70,6 +70,7 @@
 	desired         int
 	nextTry         uint64
 	refused         map[offer]time.Time
+	keptRoom        []*demand // what room is kept for, as of the last snapshot
 
 	queue     *groupcommit.Queue // what is to become durable
 	admission *admission.Gate
--- a/internal/coordination/exhausted_shapes.go
+++ b/internal/coordination/exhausted_shapes.go
@@ -16,10 +16,21 @@
 	spot    bool
 	service bool
 	rank    storage.Priority
+
+	opportunistic bool // strands no accelerators
+	guaranteed    bool // may preempt opportunistic work
 }
 
+// shape is the job's, as far as that doesn't depend on its team.
 func (j *job) shape() shape {
-	return shape{j.spec.Room, j.types, j.spec.Spot, j.spec.Service, j.spec.Priority}
+	return shape{room: j.spec.Room, types: j.types, spot: j.spec.Spot, service: j.spec.Service, rank: j.spec.Priority}
+}
+
+// shapeOf is a job's shape.
+func (d *dispatcher) shapeOf(j *job) shape {
+	s := j.shape()
+	s.opportunistic = d.settings.opportunistic(&j.spec)
+	return s
 }
 
 // exhaustedShapes remembers, by shape and zone, up to which candidate none takes a task.
--- a/internal/coordination/gang_preemption.go
+++ b/internal/coordination/gang_preemption.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		c := claimed{s: s, tasks: min(j.waiting, fitCount(most, j.spec.Room))}
-		if victims, cost, ok := d.victims(s, j.spec.Room.Times(c.tasks), j.spec.Priority, now); ok {
+		if victims, cost, ok := d.victims(s, j.spec.Room.Times(c.tasks), preemptor{priority: j.spec.Priority}, now); ok {
 			c.victims, c.cost = victims, cost
 			all = append(all, c)
 			room += c.tasks
@@ -99,7 +99,7 @@
 		all = all[1:]
 		if c.tasks > left {
 			c.tasks = left
-			c.victims, c.cost, _ = d.victims(c.s, j.spec.Room.Times(left), j.spec.Priority, now)
+			c.victims, c.cost, _ = d.victims(c.s, j.spec.Room.Times(left), preemptor{priority: j.spec.Priority}, now)
 		}
 		plan, left, cost = append(plan, c), left-c.tasks, cost+c.cost
 	}
--- /dev/null
+++ b/internal/coordination/opportunistic.go
@@ -0,0 +1,106 @@
+package coordination
+
+import (
+	"time"
+
+	"sagevale/internal/storage"
+)
+
+// Opportunistic work is best-effort work for which nobody has stated when it should be done,
+// of a team without a guarantee. It runs on what is idle and on machines that are cheap for
+// it: it takes neither the room that is kept for others nor accelerators' processors, makes
+// way for guaranteed work, and keeps no dear machine rented. Its jobs share what there is
+// evenly, so that the largest ones begin too.
+
+const (
+	// opportunisticPrice is how many times the least price of a task's place a machine may
+	// cost that is rented for opportunistic work.
+	opportunisticPrice = 2.0
+	// footholdLeases is how long a job waits for a cheap machine, in leases, before one of
+	// any price is rented for its first task.
+	footholdLeases = 2
+)
+
+// opportunistic tells whether a job of that spec is opportunistic work.
+func (s *Settings) opportunistic(spec *storage.Spec) bool {
+	if spec.Priority > storage.BestEffort || spec.DeadlineS > 0 || spec.Service || spec.Gang {
+		return false
+	}
+	if team := s.team(spec.Team); team != nil && team.Guarantee != (storage.Room{}) {
+		return false
+	}
+	for i := range s.Objectives {
+		if s.Objectives[i].Class == spec.Class {
+			return false
+		}
+	}
+	return true
+}
+
+// held is how many of the job's tasks have or had a place.
+func (j *job) held() int { return len(j.attempts) + j.done }
+
+// opportunisticShare is how many tasks of one opportunistic job a round places at the most, with
+// so many of them waiting.
+func opportunisticShare(jobs int) int { return max(1, scanLimit/max(1, jobs)) }
+
+// opportunisticWaiting counts the opportunistic jobs among those that wait.
+func (d *dispatcher) opportunisticWaiting(waiting []*job) int {
+	n := 0
+	for _, j := range waiting {
+		if d.settings.opportunistic(&j.spec) {
+			n++
+		}
+	}
+	return n
+}
+
+// withholdHeadroom takes the room that is kept for others from a round's candidates, before
+// opportunistic work is placed.
+func (d *dispatcher) withholdHeadroom(r *round) {
+	for _, kept := range d.keptRoom {
+		zones := newZoneCheck(kept.job)
+		for n := kept.n; n > 0; n-- {
+			s := d.fullest(r.candidates, kept.job, &zones, lastResort)
+			if s == nil {
+				break
+			}
+			s.free = s.free.Minus(kept.job.spec.Room)
+			zones.add(s.zone, 1)
+		}
+	}
+}
+
+// footholdDue tells whether an opportunistic job has waited so long for its first place that a
+// machine of any price is rented for it.
+func (d *dispatcher) footholdDue(j *job, now time.Time) bool {
+	return j.held() == 0 && now.Sub(j.submitted) > footholdLeases*d.settings.Lease
+}
+
+// placePrice is what a machine of an offer costs for each task of that room.
+func (d *dispatcher) placePrice(o offer, room storage.Room) float64 {
+	typ := d.types[o.kind]
+	price := typ.Price
+	if o.spot {
+		price = typ.SpotPrice
+	}
+	return price / float64(fitCount(typ.Room, room))
+}
+
+// leastPlacePrice is the least price of a task's place among the machines that a job may use.
+func (d *dispatcher) leastPlacePrice(j *job) float64 {
+	least := 0.0
+	for _, kind := range d.fitsOf(j) {
+		spot := j.spec.Spot && d.types[kind].SpotPrice > 0
+		if price := d.placePrice(offer{kind: kind, spot: spot}, j.spec.Room); least == 0 || price < least {
+			least = price
+		}
+	}
+	return least
+}
+
+// cheapFor tells whether machines of an offer are cheap enough to be rented, or kept, for an
+// opportunistic job.
+func (d *dispatcher) cheapFor(o offer, j *job) bool {
+	return d.placePrice(o, j.spec.Room) <= opportunisticPrice*d.leastPlacePrice(j)
+}
--- a/internal/coordination/packing.go
+++ b/internal/coordination/packing.go
@@ -108,6 +108,12 @@
 		if !ok || len(p.wanted) >= p.limit {
 			break
 		}
+		if dm.opportunistic && !d.cheapFor(o, dm.job) {
+			if !d.footholdDue(dm.job, now) {
+				break
+			}
+			dm.n = 1
+		}
 		typ := d.types[o.kind]
 		if dm.job.spec.Room.GPUs == 0 && typ.Room.GPUs > 0 {
 			// Only the dear kind is left: first count on those that boot anyway.
@@ -153,7 +159,7 @@
 func (d *dispatcher) usualBatch(now time.Time) float64 {
 	n := 0.0
 	for _, c := range d.classes {
-		if c.last.spec.Service {
+		if c.last.spec.Service || d.settings.opportunistic(&c.last.spec) {
 			continue
 		}
 		rate := d.rate(c, now)
@@ -169,7 +175,7 @@
 func (d *dispatcher) batchPlaces() int {
 	n := 0
 	for _, j := range d.jobs.open {
-		if !j.spec.Service {
+		if !j.spec.Service && !d.settings.opportunistic(&j.spec) {
 			n += len(j.attempts)
 		}
 	}
@@ -178,7 +184,7 @@
 
 // bestCandidate finds the fullest candidate that takes one more task of the demand.
 func (d *dispatcher) bestCandidate(p *packing, dm *demand) *candidate {
-	sh := dm.job.shape()
+	sh := d.shapeOf(dm.job)
 	from := p.exhausted.from(sh, &dm.zones, p.zones)
 	if from >= len(p.candidates) {
 		return nil
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -24,7 +24,10 @@
 	exhausted     exhaustedShapes // shapes that found no free room
 	unpreemptable exhaustedShapes // shapes for which nothing can be stopped either
 	booked        []*attempt
-	held          bool // room is kept for a gang that found too little
+	held          bool          // room is kept for a gang that found too little
+	share         int           // how many tasks of one opportunistic job are placed
+	withheld      bool          // the room that is kept for others is taken out of the candidates
+	guaranteed    map[*job]bool // the jobs within their team's guarantee; nil: not yet looked for
 }
 
 // placeRound reserves room for waiting tasks, the most urgent first, and starts
@@ -42,20 +45,37 @@
 	d.learnPerGPU(now)
 	r := &round{now: now, candidates: d.readyCandidates(now), exhausted: make(exhaustedShapes), unpreemptable: make(exhaustedShapes)}
 	r.zones = zonesOf(r.candidates)
+	r.share = opportunisticShare(d.opportunisticWaiting(waiting))
 	for _, j := range waiting {
 		if len(r.booked) >= scanLimit {
 			d.place = true // the rest in the next round
 			break
 		}
-		if j.spec.Gang {
+		switch {
+		case j.spec.Gang:
 			d.placeGang(j, r)
-		} else {
+		case d.settings.opportunistic(&j.spec):
+			d.placeOpportunistic(j, r)
+		default:
 			d.placeJob(j, r)
 		}
 	}
 	d.startWhenDurable(r.booked)
 }
 
+// placeOpportunistic places a job's share of what is idle.
+func (d *dispatcher) placeOpportunistic(j *job, r *round) {
+	if !r.withheld {
+		r.withheld = true
+		d.withholdHeadroom(r)
+	}
+	before := len(r.booked)
+	d.placeTasks(j, min(r.share, j.tries()), r)
+	if j.waiting > 0 && len(r.booked)-before == r.share {
+		d.place = true // there may be more room
+	}
+}
+
 // waitingJobs lists the open jobs with tasks to place.
 func (d *dispatcher) waitingJobs(now time.Time) []*job {
 	var waiting []*job
@@ -68,10 +88,13 @@
 }
 
 // placeJob places what it can of a job's tasks, or makes room for them.
-func (d *dispatcher) placeJob(j *job, r *round) {
+func (d *dispatcher) placeJob(j *job, r *round) { d.placeTasks(j, j.tries(), r) }
+
+// placeTasks places up to so many of a job's tasks, or makes room for them.
+func (d *dispatcher) placeTasks(j *job, tasks int, r *round) {
 	zones := newZoneCheck(j)
 	best := shortlist{job: j, round: r, zones: &zones}
-	for n := j.tries(); n > 0 && len(r.booked) < scanLimit; n-- {
+	for n := tasks; n > 0 && len(r.booked) < scanLimit; n-- {
 		task, ok := j.nextWaiting()
 		if !ok || !d.withinLimit(j) {
 			return
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -11,8 +11,10 @@
 // costs least. The task is placed once that is gone; until the round ends
 // nobody else counts on the claimed room. It returns the machine's zone.
 func (d *dispatcher) preempt(j *job, r *round, zones *zoneCheck) (zone string, ok bool) {
-	sh := j.shape()
-	if j.spec.Priority <= storage.BestEffort || r.unpreemptable.from(sh, zones, r.zones) >= len(r.candidates) {
+	by := d.preemptorOf(j, r)
+	sh := d.shapeOf(j)
+	sh.guaranteed = by.guaranteed
+	if by.bound() <= storage.BestEffort || r.unpreemptable.from(sh, zones, r.zones) >= len(r.candidates) {
 		return "", false
 	}
 	var best *candidate
@@ -22,7 +24,7 @@
 		if !j.spec.Room.Fits(s.typ.Room) || !s.admits(j, zones) {
 			continue
 		}
-		v, cost, ok := d.victims(s, j.spec.Room, j.spec.Priority, r.now)
+		v, cost, ok := d.victims(s, j.spec.Room, by, r.now)
 		if ok && (best == nil || cost < bestCost) {
 			best, victims, bestCost = s, v, cost
 		}
@@ -53,16 +55,47 @@
 	s.freeing = all.Minus(s.free)
 }
 
-// victims chooses tasks of lower priority in the candidate whose end makes that much
+// preemptor is what makes room for itself: work of a priority, which may also stop opportunistic
+// work of the same priority if it lies within its team's guarantee.
+type preemptor struct {
+	priority   storage.Priority
+	guaranteed bool
+}
+
+// preemptorOf is a job as a preemptor.
+func (d *dispatcher) preemptorOf(j *job, r *round) preemptor {
+	if j.spec.Priority > storage.BestEffort {
+		return preemptor{priority: j.spec.Priority} // all opportunistic work has less
+	}
+	if r.guaranteed == nil {
+		r.guaranteed = d.guaranteed()
+	}
+	return preemptor{priority: j.spec.Priority, guaranteed: r.guaranteed[j]}
+}
+
+// bound is the least priority that it can't preempt any work of.
+func (p preemptor) bound() storage.Priority {
+	if p.guaranteed {
+		return p.priority + 1
+	}
+	return p.priority
+}
+
+// mayStop tells whether a preemptor may stop an attempt.
+func (d *dispatcher) mayStop(p preemptor, a *attempt) bool {
+	return a.job.spec.Priority < p.priority || p.guaranteed && d.settings.opportunistic(&a.job.spec)
+}
+
+// victims chooses tasks in the candidate that the preemptor may stop and whose end makes that much
 // room, the cheapest to lose first. Room that is being freed already
 // counts: then there is nothing to stop.
-func (d *dispatcher) victims(s *candidate, room storage.Room, rank storage.Priority, now time.Time) ([]*attempt, float64, bool) {
+func (d *dispatcher) victims(s *candidate, room storage.Room, by preemptor, now time.Time) ([]*attempt, float64, bool) {
 	free := s.free.Plus(s.freeing)
 	if room.Fits(free) {
 		return nil, 0, true
 	}
 	most := free
-	for _, live := range s.on.live[:rank] {
+	for _, live := range s.on.live[:by.bound()] {
 		most = most.Plus(live)
 	}
 	if !room.Fits(most) {
@@ -70,7 +103,7 @@
 	}
 	var lower []*attempt
 	for _, a := range s.on.sortedAttempts() {
-		if !a.stop && a.job.spec.Priority < rank {
+		if !a.stop && d.mayStop(by, a) {
 			lower = append(lower, a)
 		}
 	}
--- a/internal/coordination/shortlist.go
+++ b/internal/coordination/shortlist.go
@@ -30,13 +30,13 @@
 // search looks through the round's candidates for those of the best tier.
 func (d *dispatcher) search(list *shortlist) {
 	j, r := list.job, list.round
-	sh := j.shape()
+	sh := d.shapeOf(j)
 	from := r.exhausted.from(sh, list.zones, r.zones)
 	if from >= len(r.candidates) {
 		return
 	}
 	for _, s := range r.candidates[from:] {
-		if !j.spec.Room.Fits(s.free) || !s.admits(j, list.zones) {
+		if !j.spec.Room.Fits(s.free) || !s.admits(j, list.zones) || sh.opportunistic && d.strands(j, s) {
 			continue
 		}
 		t := d.tier(j, s)
@@ -54,7 +54,7 @@
 
 // booked takes in that a task was booked on a candidate, which may have become too full or of another tier.
 func (d *dispatcher) booked(list *shortlist, s *candidate) {
-	fits := list.job.spec.Room.Fits(s.free)
+	fits := list.job.spec.Room.Fits(s.free) && !(d.settings.opportunistic(&list.job.spec) && d.strands(list.job, s))
 	switch tier := d.tier(list.job, s); {
 	case fits && tier == list.tier:
 	case fits && tier < list.tier:
--- a/internal/coordination/surplus.go
+++ b/internal/coordination/surplus.go
@@ -148,6 +148,9 @@
 		if !a.job.spec.Service && !(saving && a.job.spec.CheckpointS > 0 && !a.job.spec.Gang) {
 			continue
 		}
+		if saving && d.settings.opportunistic(&a.job.spec) && !d.cheapFor(offer{m.kind, m.zone, m.spot}, a.job) {
+			continue // it waits for cheaper room
+		}
 		if saving && d.lateByMove(a, now) {
 			return undo, false
 		}
--- a/internal/coordination/urgency.go
+++ b/internal/coordination/urgency.go
@@ -19,10 +19,11 @@
 
 // The ranks of waiting work of one priority, first to last.
 const (
-	rankLastCall = iota // its class's bound on waiting is nearly missed
-	rankTimely          // it can start as promptly as its team's guarantee has it, or be done by its deadline
-	rankLate            // it can be done within lateTimes its deadline
-	rankRest            // a lost deadline isn't made better by losing others
+	rankLastCall      = iota // its class's bound on waiting is nearly missed
+	rankTimely               // it can start as promptly as its team's guarantee has it, or be done by its deadline
+	rankLate                 // it can be done within lateTimes its deadline
+	rankRest                 // a lost deadline isn't made better by losing others
+	rankOpportunistic        // nobody has stated when it should be done
 )
 
 const (
@@ -38,6 +39,7 @@
 	rank   int
 	within bool      // its team's guarantee covers it
 	by     time.Time // when it must start for what its rank is about
+	held   int       // places it has or had, if it is opportunistic: jobs with few come first
 }
 
 // byUrgency sorts waiting jobs: priority first, then what can still be in time
@@ -54,6 +56,8 @@
 			return ka.rank < kb.rank
 		case ka.within != kb.within:
 			return ka.within
+		case ka.held != kb.held:
+			return ka.held < kb.held
 		case !ka.by.Equal(kb.by):
 			return ka.by.Before(kb.by)
 		}
@@ -70,10 +74,13 @@
 	within := d.guaranteed()
 	groups := make(map[storage.Priority][]*job)
 	for _, j := range jobs {
-		keys[j] = urgency{rankRest, within[j], j.due()}
-		if j.spec.Service || j.spec.DeadlineS <= 0 {
-			keys[j] = urgency{rankTimely, within[j], j.due()}
-		} else {
+		switch {
+		case d.settings.opportunistic(&j.spec):
+			keys[j] = urgency{rank: rankOpportunistic, by: j.due(), held: j.held()}
+		case j.spec.Service || j.spec.DeadlineS <= 0:
+			keys[j] = urgency{rank: rankTimely, within: within[j], by: j.due()}
+		default:
+			keys[j] = urgency{rank: rankRest, within: within[j], by: j.due()}
 			groups[j.spec.Priority] = append(groups[j.spec.Priority], j)
 		}
 	}
@@ -117,7 +124,7 @@
 		b := heap.Pop(&bids).(bid)
 		f.ahead += b.j.tries()
 		heap.Push(&taken, b)
-		f.keys[b.j] = urgency{rank, f.keys[b.j].within, b.by[0]}
+		f.keys[b.j] = urgency{rank: rank, within: f.keys[b.j].within, by: b.by[0]}
 		if f.pace == 0 || !f.now.Add(seconds(float64(f.ahead)/f.pace)).After(b.by[0]) {
 			continue
 		}
@@ -127,7 +134,7 @@
 			heap.Push(&bids, out) // it has a later chance
 			continue
 		}
-		f.keys[out.j] = urgency{rankRest, f.keys[out.j].within, out.j.due()}
+		f.keys[out.j] = urgency{rank: rankRest, within: f.keys[out.j].within, by: out.j.due()}
 		left = append(left, out.j)
 	}
 	return left
@@ -170,7 +177,7 @@
 func (d *dispatcher) batchPace(now time.Time) float64 {
 	places, runS := 0, 0.0
 	for _, j := range d.jobs.open {
-		if n := len(j.attempts); !j.spec.Service && n > 0 {
+		if n := len(j.attempts); !j.spec.Service && n > 0 && !d.settings.opportunistic(&j.spec) {
 			places += n
 			runS += float64(n) * d.runTime(j)
 		}
