--- a/internal/coordination/commits.go
+++ b/internal/coordination/commits.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -118,8 +119,12 @@
 }
 
 // flush hands what is marked to the journal, as much as one commit holds, unless one is
-// under way.
+// under way. Of the bulk lane it takes what leaves changes for the others.
 func (d *dispatcher) flush() {
+	if !d.queue.Idle() {
+		return
+	}
+	d.limitBulk(time.Now())
 	records, ok := d.queue.Next(d.settings.commitBytes(), func(key string, err error) {
 		d.log.Error("record not encoded", "key", key, "err", err)
 	})
@@ -130,6 +135,26 @@
 	d.journal.Append(d.ctx, storage.Batch{Records: records, Ack: func(err error) { d.post(committedMsg{err}) }})
 }
 
+// limitBulk lets the bulk lane use what the journal has saved beyond a reserve.
+func (d *dispatcher) limitBulk(now time.Time) {
+	if d.queue.Waiting(groupcommit.Bulk) == 0 {
+		return
+	}
+	saved, burst, _ := d.journal.Saved()
+	allowed := d.bulkPace.Allow(now, saved, burst) * d.journal.ChangeBytes()
+	d.queue.LimitBulk(int(min(allowed, math.MaxInt32)))
+}
+
+// bulkHeld tells whether records wait only because the bulk lane is held back, and in what time
+// it is to be looked at again.
+func (d *dispatcher) bulkHeld(now time.Time) (again time.Duration, held bool) {
+	if !d.queue.Idle() || d.queue.Waiting(groupcommit.Bulk) == 0 {
+		return 0, false
+	}
+	saved, burst, rate := d.journal.Saved()
+	return d.bulkPace.Due(now, saved, burst, rate), true
+}
+
 // handleCommitted takes in what became of the commit under way.
 func (d *dispatcher) handleCommitted(err error) {
 	took := time.Since(d.commitAt)
--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -73,6 +73,7 @@
 	keptRoom        []*demand // what room is kept for, as of the last snapshot
 
 	queue     *groupcommit.Queue // what is to become durable
+	bulkPace  *groupcommit.BulkPace
 	admission *admission.Gate
 	accepted  int // submissions that the last commit made durable
 	waiters   []*waiter
@@ -149,7 +150,7 @@
 		jobs: newJobTable(), machines: make(map[int]*machine),
 		reservations: storage.NewReservations(), classes: make(map[string]*class), rentals: make(map[string]storage.RentalRecord),
 		nextTry: role.Term * tryStride, refused: make(map[offer]time.Time),
-		queue: groupcommit.New(), removed: make(map[int]bool), place: true,
+		queue: groupcommit.New(), bulkPace: groupcommit.NewBulkPace(scale(s.Report, commitPerReport)), removed: make(map[int]bool), place: true,
 		delegator: newDelegator(s), unreached: make(map[int]bool), sinceHeartbeat: func() time.Duration { return 0 },
 		gates: role.cluster.record, requestGate: func(upgrade.GateName) {},
 	}
@@ -246,6 +247,8 @@
 	defer tick.Stop()
 	rest := time.NewTimer(0) // ends placement's rest
 	defer rest.Stop()
+	bulk := time.NewTimer(0) // ends the time for which bulk is held back
+	defer bulk.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -259,12 +262,16 @@
 		case <-tick.C:
 			d.tick()
 		case <-rest.C:
+		case <-bulk.C:
 		}
 		d.publishDelegation(time.Now())
 		if d.place {
 			d.paceRound(rest)
 		}
 		d.flush()
+		if again, held := d.bulkHeld(time.Now()); held {
+			bulk.Reset(again)
+		}
 	}
 }
 
--- a/internal/groupcommit/queue.go
+++ b/internal/groupcommit/queue.go
@@ -7,7 +7,11 @@
 // commit to the journal and tells the queue what became of it.
 package groupcommit
 
-import "sagevale/internal/storage"
+import (
+	"math"
+
+	"sagevale/internal/storage"
+)
 
 // Lane tells what waits for an entity.
 type Lane int
@@ -28,6 +32,7 @@
 	lanes   [lanes]lane
 	writing map[string]bool // entities of the commit under way
 	waits   []wait
+	bulk    int // how many bytes of the bulk lane a commit may hold
 	busy    bool
 	full    bool // the commit under way left some of the prompt lane behind
 }
@@ -55,7 +60,7 @@
 
 // New returns an empty queue.
 func New() *Queue {
-	q := &Queue{}
+	q := &Queue{bulk: math.MaxInt}
 	for i := range q.lanes {
 		q.lanes[i].dirty = make(map[string]entity)
 	}
@@ -136,12 +141,19 @@
 // OnAllDurable calls once all that is marked now is durable, or with the error of a commit that failed.
 func (q *Queue) OnAllDurable(call func(error)) { q.OnDurable(call, Urgent, Prompt, Bulk) }
 
+// LimitBulk lets a commit hold so many bytes of the bulk lane, but at least one record if it may hold
+// any; 0 holds the lane back.
+func (q *Queue) LimitBulk(bytes int) { q.bulk = bytes }
+
+// Idle tells whether no commit is under way.
+func (q *Queue) Idle() bool { return !q.busy }
+
 // Next begins a commit of at most so many bytes, but of at least one record if any waits. It is
 // false while a commit is under way, and if nothing waits. What can't be encoded is passed to
 // failed and left out.
 func (q *Queue) Next(bytes int, failed func(key string, err error)) ([]storage.Record, bool) {
 	waiting := q.lanesWaiting()
-	if q.busy || len(q.waits) == 0 && waiting == 0 {
+	if q.busy || waiting == 0 && !q.callDue() {
 		return nil, false
 	}
 	q.busy, q.writing = true, make(map[string]bool)
@@ -150,12 +162,21 @@
 	}
 	var records []storage.Record
 	left := bytes
+	bulk := q.bulk
 	for _, share := range []int{bytes / max(1, waiting), bytes} { // then what the others have left
 		for i := range lanes {
-			if q.Waiting(i) > 0 && left > 0 {
-				var used int
-				records, used = q.take(i, records, min(share, left), failed)
-				left -= used
+			most := min(share, left)
+			if i == Bulk {
+				most = min(most, bulk)
+			}
+			if q.Waiting(i) == 0 || most <= 0 {
+				continue
+			}
+			var used int
+			records, used = q.take(i, records, most, failed)
+			left -= used
+			if i == Bulk {
+				bulk -= used
 			}
 		}
 	}
@@ -163,10 +184,20 @@
 	return records, true
 }
 
-// lanesWaiting is how many lanes have entities that are in no commit yet.
+// callDue tells whether some call waits for nothing that isn't durable.
+func (q *Queue) callDue() bool {
+	for i := range q.waits {
+		if q.reached(&q.waits[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+// lanesWaiting is how many lanes have entities that the next commit may hold.
 func (q *Queue) lanesWaiting() (n int) {
 	for i := range lanes {
-		if q.Waiting(i) > 0 {
+		if q.Waiting(i) > 0 && (i != Bulk || q.bulk > 0) {
 			n++
 		}
 	}
--- a/internal/storage/journal_write.go
+++ b/internal/storage/journal_write.go
@@ -68,7 +68,19 @@
 // Spare is how many bytes of records may be written at once, because less than the pace was
 // written before.
 func (j *Journal) Spare() int {
-	return int(max(0, j.limiter.Tokens()) * valueShare * float64(j.limitTracker.Limits().ValueBytes))
+	saved, _, _ := j.Saved()
+	return int(saved * j.ChangeBytes())
+}
+
+// Saved is how many changes could be made at once, of how many that can be saved up, and how many
+// are added a second.
+func (j *Journal) Saved() (changes, burst, rate float64) {
+	return max(0, j.limiter.Tokens()), float64(j.limiter.Burst()), float64(j.limiter.Limit())
+}
+
+// ChangeBytes is how many bytes of records one change writes.
+func (j *Journal) ChangeBytes() float64 {
+	return valueShare * float64(j.limitTracker.Limits().ValueBytes)
 }
 
 // HasSavings tells whether a transaction's changes could be made at once: commits come at their
