Failures are attributed to the job or the machine; short tasks end no term; standstills tested

A flood of short tasks ended the term each 22 s. Change: internal/failures attributes a failure once several machines, or retries, tell whose it is; a new leader recalls failures from the first reports; other than urgent work isn't started directly once 128 attempts may have to be remembered.

--- a/internal/coordination/fake_node_test.go
+++ b/internal/coordination/fake_node_test.go
@@ -20,11 +20,12 @@
 	end      context.CancelFunc
 	cutState atomic.Bool
 	cutPeers atomic.Bool
-	cutWork  atomic.Bool             // it doesn't reach the workers, nor they it
-	holdUp   atomic.Int64            // its answers to other nodes' users come so much later
-	statuses map[string]PeerReport   // what the others told last
-	upgrade  func(*upgrade.Settings) // changes what its next process brings to an upgrade
-	refused  atomic.Pointer[error]   // why its process ended by itself
+	cutWork  atomic.Bool                   // it doesn't reach the workers, nor they it
+	frozen   atomic.Pointer[chan struct{}] // it stands still until that is closed; nil: it doesn't
+	holdUp   atomic.Int64                  // its answers to other nodes' users come so much later
+	statuses map[string]PeerReport         // what the others told last
+	upgrade  func(*upgrade.Settings)       // changes what its next process brings to an upgrade
+	refused  atomic.Pointer[error]         // why its process ended by itself
 	// unregistered is its process of a version that doesn't register; nil: none
 	unregistered atomic.Pointer[unregisteredProcess]
 }
@@ -43,7 +44,7 @@
 	}
 	n.refused.Store(nil)
 	n.node = NewNode(&s, Deps{
-		State: &storagetest.Client{Service: n.sim.state, Cut: &n.cutState}, Cloud: n.sim.cloud, Workers: n, Peers: n,
+		State: gatedState{&storagetest.Client{Service: n.sim.state, Cut: &n.cutState}, n}, Cloud: n.sim.cloud, Workers: n, Peers: n,
 		Log: n.sim.log, Rand: rand.New(rand.NewPCG(7, uint64(len(n.name)))),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -86,7 +87,14 @@
 			return Answer{Peer: PeerState{Version: old.told}}, nil
 		}
 		if live := o.live.Load(); o.name == name && live != nil && !o.cutPeers.Load() && !n.cutPeers.Load() {
+			n.gate()
+			o.gate()
 			a := live.Local(ctx, req)
+			o.gate()
+			n.gate()
+			if ctx.Err() != nil {
+				return Answer{}, ctx.Err()
+			}
 			if req.Op != OpPing {
 				time.Sleep(time.Duration(o.holdUp.Load()))
 			}
@@ -100,7 +108,12 @@
 func (n *fakeNode) Heartbeats(ctx context.Context, name string, reports []*Report) ([]HeartbeatResponse, error) {
 	for _, o := range n.sim.nodes {
 		if live := o.live.Load(); o.name == name && live != nil && !o.cutPeers.Load() && !n.cutPeers.Load() {
-			if answers := live.LocalHeartbeats(ctx, reports); answers != nil {
+			n.gate()
+			o.gate()
+			answers := live.LocalHeartbeats(ctx, reports)
+			o.gate()
+			n.gate()
+			if answers != nil && ctx.Err() == nil {
 				return answers, nil
 			}
 		}
@@ -167,6 +180,7 @@
 	if !sendBy.IsZero() && !time.Now().Before(sendBy) {
 		return NotSent, nil
 	}
+	n.gate() // between the check and the sending
 	var id int
 	if _, err := fmt.Sscan(addr, &id); err != nil {
 		n.sim.t.Errorf("address %q", addr)
--- a/internal/coordination/fake_worker_test.go
+++ b/internal/coordination/fake_worker_test.go
@@ -109,7 +109,7 @@
 	for k, t := range wk.tasks {
 		if t.state == Running && !t.ends.IsZero() && now.After(t.ends) {
 			t.state, t.cause = Ended, CauseDone
-			if wk.sick.Load() {
+			if wk.sick.Load() || wk.sim.mistaken[k.ID.Job] {
 				t.cause = CauseError
 			}
 			wk.sim.ran[k.ID] = wk.sim.ran[k.ID] || t.cause == CauseDone
@@ -146,11 +146,16 @@
 		return workerTimeout + workerPause
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), workerTimeout)
+	n.gate()
 	a := live.Heartbeat(ctx, r)
+	n.gate()
 	cancel()
 	wk.sim.mu.Lock()
 	defer wk.sim.mu.Unlock()
 	switch {
+	case time.Since(sent) > workerTimeout: // it has gone on to the next node
+		wk.node++
+		return workerPause
 	case wk.deaf.Load() || wk.cut.Load() || wk.dead.Load() || wk.still.Load() || !n.reaches(wk):
 	case !a.Accepted:
 		for i, o := range wk.sim.nodes {
--- a/internal/coordination/gang_page_test.go
+++ b/internal/coordination/gang_page_test.go
@@ -127,8 +127,8 @@
 		one, two := d.up(1, "cpu", "a", false), d.up(2, "cpu", "a", false)
 		j := d.gangOn(gangOf("000001", 2), Gathering, one, two)
 		d.applyTask(one, &Report{Session: 1}, TaskReport{ID: TaskID{"000001", 0}, Try: 9, State: Ended, Cause: CausePeers}, time.Now())
-		if one.failures != 0 || !one.pauseTill.IsZero() || j.failures != 0 {
-			t.Errorf("%d failures of the machine, %d of the job", one.failures, j.failures)
+		if one.failures.Suspected() || !one.pauseTill.IsZero() || len(j.failures.Machines()) != 0 {
+			t.Errorf("failures of the machine %+v, of the job %+v", one.failures, j.failures)
 		}
 		if a := j.attempts[1]; a == nil || !a.stop {
 			t.Error("the rest of an attempt that can't be completed goes on")
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -229,8 +229,7 @@
 		d := newTestDispatcher(t, s)
 		m := d.up(7, "cpu", "a", false)
 		for i := range 12 {
-			m.failures++
-			d.failed(d.accept(arrayJob(fmt.Sprintf("%06d", i+1), 1)), m, time.Now())
+			d.failed(d.accept(arrayJob(fmt.Sprintf("%06d", i+1), 1)), m, time.Now(), time.Now())
 			d.sessionEnded(m, &Report{Machine: 7, Session: uint64(i + 2)}, time.Now())
 			if pause := time.Until(m.pauseTill); pause > 2*s.Lease {
 				t.Fatalf("left alone for %v", pause)
--- a/internal/coordination/job.go
+++ b/internal/coordination/job.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"sagevale/internal/failures"
 	"sagevale/internal/storage"
 )
 
@@ -35,7 +36,7 @@
 
 	gang gang // of a job whose tasks run together
 
-	failures  int // tasks that failed since the last success
+	failures  failures.Job
 	pauseTill time.Time
 }
 
@@ -111,14 +112,10 @@
 	return 0, false
 }
 
-// mistaken is how many failures in a row make a job suspect of failing
-// everywhere.
-const mistaken = 3
-
 // tries is how many of the waiting tasks may start now: one at a time of a job
 // that seems to fail everywhere.
 func (j *job) tries() int {
-	if j.failures < mistaken {
+	if !j.failures.AtFault() {
 		return j.waiting
 	}
 	return max(0, min(j.waiting, 1-len(j.attempts)))
--- a/internal/coordination/machine.go
+++ b/internal/coordination/machine.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"sagevale/internal/failures"
 	"sagevale/internal/fencing"
 	"sagevale/internal/storage"
 )
@@ -45,8 +46,7 @@
 	images    map[string]image
 
 	inFlight     int // direct orders not yet answered
-	failures     int // failed tasks of different jobs without a success between
-	lastFail     string
+	failures     failures.Machine
 	unresponsive bool // didn't do as it was told when that was last looked at
 	lapses       int  // sessions lost while its reports came
 	pauseTill    time.Time
@@ -83,7 +83,7 @@
 // inTrouble tells whether the machine is left alone because it fails tasks or
 // doesn't hear: its room then helps nobody.
 func (m *machine) inTrouble(now time.Time) bool {
-	return now.Before(m.pauseTill) && (m.lapses > 0 || m.failures > 0 || m.unresponsive)
+	return now.Before(m.pauseTill) && (m.lapses > 0 || m.failures.Suspected() || m.unresponsive)
 }
 
 // useImage notes that an image is in use and forgets the least recently used
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -155,13 +155,14 @@
 		if a.job.phase != storage.Open || a.stop || m.returning || a.session != m.session || a.sent() {
 			continue
 		}
+		if !d.mayStartDirectly(m, a.job) {
+			continue // with the answer to a report
+		}
 		orders[m] = append(orders[m], Order{Verb: Start, ID: a.id(), Try: a.try})
 		starts[m] = append(starts[m], a)
 	}
 	for m, o := range orders {
-		if d.mayStartDirectly(m) {
-			d.direct(m, o, starts[m])
-		}
+		d.direct(m, o, starts[m])
 	}
 }
 
@@ -204,7 +205,7 @@
 	if d.strands(j, s) {
 		t |= tierStrands
 	}
-	if s.on.failures > 0 || s.on.lapses > 0 {
+	if s.on.failures.Suspected() || s.on.lapses > 0 {
 		t |= tierTrouble
 	}
 	return t
@@ -228,24 +229,3 @@
 	}
 	return s.free.CPUs / s.typ.Room.CPUs
 }
-
-// pauseLeases is the longest that a machine in trouble is left alone, in leases:
-// beyond that, work would wait for long beside its room.
-const pauseLeases = 2
-
-// failed weighs a task's failure between its job and its machine: a job that
-// fails on several machines waits longer each time and leaves them alone; a
-// machine on which several jobs fail is left alone for a while.
-func (d *dispatcher) failed(j *job, m *machine, now time.Time) {
-	const faulty = 2
-	if j.failures >= mistaken {
-		m.failures = max(0, m.failures-1)
-		j.pauseTill = now.Add(scale(d.settings.Report, float64(int(1)<<min(j.failures-mistaken, 4))))
-		d.log.Info("job fails on several machines", "job", j.spec.ID, "failures", j.failures)
-	}
-	if m.failures >= faulty {
-		pause := scale(d.settings.Lease, float64(min(1+m.failures-faulty, pauseLeases)))
-		m.pauseTill = now.Add(pause)
-		d.log.Info("machine fails several jobs", "machine", m.id, "failures", m.failures, "pause", pause)
-	}
-}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -77,7 +77,8 @@
 	if !m.recorded {
 		d.markMachine(m)
 	}
-	if d.tokens.Contains(r.Token) && !m.heard && r.Session > m.lapsed {
+	first := d.tokens.Contains(r.Token) && !m.heard && r.Session > m.lapsed
+	if first {
 		// From here on only our own answers renew its lease.
 		m.heard, m.lastAnswered = true, now
 		if len(m.attempts) == 0 {
@@ -100,6 +101,9 @@
 		listed[taskTry{t.ID, t.Try}] = true
 		d.applyTask(m, r, t, now)
 	}
+	if first {
+		d.recallFailures(m, r)
+	}
 	if beat {
 		d.watchCompliance(m, r, now)
 	}
@@ -177,7 +181,7 @@
 			}
 			m.useImage(a.job.spec.Image, a.job.spec.ImageGB, now)
 		case Running, Saving:
-			a.job.gang.ran = true
+			a.job.gang.ran = a.job.spec.Gang
 			if !wasRunning && t.State == Running {
 				a.started = now
 				d.log.Debug("task running", "job", a.job.spec.ID, "class", a.job.spec.Class, "task", a.task, "machine", m.id,
@@ -220,8 +224,8 @@
 	j, m := a.job, a.on
 	switch t.Cause {
 	case CauseDone:
-		j.failures = 0
-		m.failures = 0
+		j.failures.Succeeded()
+		m.failures.Succeeded()
 		d.ran(a, now)
 		if j.spec.Gang {
 			d.gangDone(j)
@@ -230,15 +234,12 @@
 	case CausePeers:
 		j.gang.over = true // the gang's failure, not the machine's
 	case CauseError:
-		if !j.gang.over {
-			j.failures++
+		if j.gang.over {
+			m.failures.Failed(j.spec.ID) // the job's was counted with the first of the gang
+		} else {
+			d.failed(j, m, a.booked, now)
 		}
 		j.gang.over = j.gang.over || j.gang.ran
-		if m.lastFail != j.spec.ID {
-			m.lastFail = j.spec.ID
-			m.failures++
-		}
-		d.failed(j, m, now)
 	case CauseFull, CauseBusy:
 		m.pauseTill = now.Add(d.settings.Report)
 	case CauseUnknown:
--- a/internal/coordination/shortlist_test.go
+++ b/internal/coordination/shortlist_test.go
@@ -22,7 +22,9 @@
 			if rapid.Bool().Draw(rt, "image") {
 				m.images["img"] = image{1, time.Now()}
 			}
-			m.failures = rapid.IntRange(0, 1).Draw(rt, "failures")
+			if rapid.Bool().Draw(rt, "failures") {
+				m.failures.Failed("000009")
+			}
 		}
 		d.perGPU = storage.Room{CPUs: float64(rapid.IntRange(0, 8).Draw(rt, "per gpu"))}
 		spec := service(fmt.Sprintf("%06d", 1), rapid.IntRange(1, 60).Draw(rt, "tasks"))
--- a/internal/coordination/simulation_test.go
+++ b/internal/coordination/simulation_test.go
@@ -37,6 +37,7 @@
 	copying  bool            // copies of direct orders are kept, to be repeated late
 	together map[string]int  // how often a gang has begun
 	overrun  map[string]bool // cancelled jobs seen beyond their time
+	mistaken map[string]bool // jobs that fail wherever they run
 	starts   int
 	apart    atomic.Pointer[string] // a zone that is cut off from everything
 	over     atomic.Bool            // machines that boot now stay away
@@ -98,7 +99,7 @@
 				CloudRPS: 6, ListLag: 4 * time.Second, MemoryMB: 98, Sockets: 1000,
 			},
 			workers: make(map[int]*fakeWorker), specs: make(map[string]storage.Spec), cancelAt: make(map[string]time.Time),
-			answered: make(map[string]JobState), askedOff: make(map[string]bool), ran: make(map[TaskID]bool), overrun: make(map[string]bool), together: make(map[string]int),
+			answered: make(map[string]JobState), askedOff: make(map[string]bool), ran: make(map[TaskID]bool), overrun: make(map[string]bool), mistaken: make(map[string]bool), together: make(map[string]int),
 		}
 		sim.log = slog.New(&slowProcessor{Handler: slog.NewTextHandler(io.Discard, nil), sim: sim, rand: rand.New(rand.NewPCG(3, 5))})
 		change(&sim.settings)
@@ -184,8 +185,14 @@
 		sim.askedOff[id] = sim.askedOff[id] || op == OpCancel
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	n.gate()
 	a := live.User(ctx, UserRequest{Op: op, ID: id, Spec: spec})
+	n.gate()
+	late := ctx.Err() != nil
 	cancel()
+	if late {
+		return Unavailable(id, "the user has gone")
+	}
 	if !a.decided() {
 		return a
 	}
--- /dev/null
+++ b/internal/coordination/task_failures_test.go
@@ -0,0 +1,160 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sagevale/internal/storage"
+)
+
+// startsOf counts the attempts of a job that workers know and haven't forgotten.
+func (sim *simulation) startsOf(id string) int {
+	n := 0
+	for _, wk := range sim.all() {
+		sim.locked(func() {
+			for k := range wk.tasks {
+				if k.ID.Job == id {
+					n++
+				}
+			}
+		})
+	}
+	return n
+}
+
+// A job that was submitted with a mistake, beside sound ones and a machine that is truly at fault,
+// and troubles that meet it. It is retried a task at a time, also by a new leader; nobody else
+// suffers, and its cancellation ends it.
+func TestAMistakenJobBesideTroubles(t *testing.T) {
+	for name, trouble := range map[string]func(sim *simulation){
+		"alone":                      func(*simulation) {},
+		"the leader ends":            func(sim *simulation) { sim.crash(sim.awaitLeader(), 3*time.Second) },
+		"the leader stands still":    func(sim *simulation) { sim.awaitLeader().freeze(8 * time.Second) },
+		"an outage":                  func(sim *simulation) { sim.outage(30 * time.Second) },
+		"all controllers end":        func(sim *simulation) { sim.restartAll() },
+		"late writes, a leader ends": func(sim *simulation) { sim.lateWrites(5, time.Second); sim.crash(sim.awaitLeader(), time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inSimulation(t, func(sim *simulation) {
+				sim.submit(service("000001", 6)) // two machines
+				sim.submit(lasting("000002", 12, 10*time.Second))
+				sim.done("000002")
+				sim.locked(func() { sim.mistaken["000003"] = true })
+				sim.submit(lasting("000003", 12, 2*time.Second))
+				time.Sleep(time.Minute)
+				before := sim.startsOf("000003")
+				trouble(sim)
+				time.Sleep(90 * time.Second)
+				if n := sim.startsOf("000003") - before; n > 16 {
+					t.Errorf("%d starts of a mistaken job in two minutes", n)
+				}
+				for id, m := range sim.awaitLeader().node.view.Load().dispatcher.suspects() {
+					t.Errorf("machine %d is suspected for a mistaken job: %+v", id, m)
+				}
+				sim.submit(lasting("000004", 4, 10*time.Second))
+				sim.done("000004")
+				sim.runs("000001", 6)
+				sim.cancel("000003")
+				sim.gone("000003")
+			})
+		})
+	}
+}
+
+// suspects are the machines that the leader suspects; it is read while nothing else happens.
+func (d *dispatcher) suspects() map[int]string {
+	synctest.Wait()
+	out := make(map[int]string)
+	for id, m := range d.machines {
+		if m.failures.Suspected() {
+			out[id] = fmt.Sprint(m.failures)
+		}
+	}
+	return out
+}
+
+// restartAll ends all controllers and begins them again.
+func (sim *simulation) restartAll() {
+	for _, n := range sim.nodes {
+		n.kill()
+	}
+	time.Sleep(3 * time.Second)
+	for _, n := range sim.nodes {
+		n.start()
+	}
+}
+
+// All tasks of a job on one machine failed at once, and the job was taken for mistaken.
+func TestAFaultyMachineIsToldFromAMistakenJob(t *testing.T) {
+	for name, c := range map[string]struct {
+		machines []int // on which tasks of the job fail
+		job      bool  // which is at fault
+		faulty   int   // machines at fault, if another job has failed on machine 1
+	}{
+		"one machine":    {[]int{1, 1, 1, 1}, false, 1},
+		"several":        {[]int{1, 2, 3}, true, 0},
+		"several, mixed": {[]int{1, 1, 2, 2, 3, 4}, true, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			d := newTestDispatcher(t, grownSettings())
+			for id := range 5 {
+				d.up(id, "cpu", "a", false)
+			}
+			other, j := d.accept(arrayJob("000001", 1)), d.accept(arrayJob("000002", 8))
+			booked := time.Now()
+			time.Sleep(time.Second)
+			d.failed(other, d.machines[1], booked, time.Now())
+			for _, id := range c.machines {
+				d.failed(j, d.machines[id], booked, time.Now())
+			}
+			faulty := 0
+			for _, m := range d.machines {
+				if m.failures.AtFault() && m.inTrouble(time.Now()) {
+					faulty++
+				}
+			}
+			if j.failures.AtFault() != c.job || faulty != c.faulty {
+				t.Errorf("%s: the job is at fault %v, %d machines are", name, j.failures.AtFault(), faulty)
+			}
+		})
+	}
+}
+
+// A flood of short tasks had workers remember so many that the term was given up again and again.
+func TestAFloodOfShortTasksEndsNoTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(t, grownSettings())
+		m := d.up(1, "cpu", "a", false)
+		start := func(spec storage.Spec) (direct int) {
+			for _, task := range []int{0, 1} {
+				m.inFlight = 0 // each is answered
+				a := d.book(d.accept(spec), task, m, time.Now())
+				d.start([]*attempt{a})
+				if a.direct != directNone {
+					direct++
+					a.direct = directSettled
+				}
+				d.free(a, "ended")
+			}
+			return direct
+		}
+		short := 0
+		for i := range patientDirect {
+			short += start(arrayJob(fmt.Sprintf("%06d", i), 2))
+		}
+		if short < patientDirect/2 || short > patientDirect || m.fence.Full() {
+			t.Errorf("%d short tasks were started directly", short)
+		}
+		if n := start(service("900000", 2)); n != 2 {
+			t.Errorf("%d of 2 urgent tasks are started directly", n)
+		}
+		a := d.book(d.accept(arrayJob("900001", 2)), 0, m, time.Now())
+		a.durable = true
+		time.Sleep(time.Second)
+		if orders := d.ordersFor(m, &Report{Machine: 1, Session: 1, Seq: m.seq + 1, Token: d.term}, time.Now()); len(orders) != 1 || orders[0].Verb != Start {
+			t.Errorf("a task that isn't started directly gets %v with the report's answer", orders)
+		}
+	})
+}
--- a/internal/coordination/worker_tokens.go
+++ b/internal/coordination/worker_tokens.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sagevale/internal/fencing"
 	"sagevale/internal/upgrade"
 )
 
@@ -31,10 +32,20 @@
 	}
 }
 
-// mayStartDirectly tells whether starts may be sent straight to a worker. One that has to
-// remember too much gets them with the answers to its reports, which are never carried out
-// late.
-func (d *dispatcher) mayStartDirectly(m *machine) bool { return !d.fencingInForce() || !m.fence.Full() }
+// patientDirect is how many live attempts a worker may have, and ended ones to remember, for other
+// than urgent work to be started on it directly: all of them may have to be remembered. The rest is left for urgent work, so that a flood of short tasks
+// doesn't end terms.
+const patientDirect = fencing.Most / 2
+
+// mayStartDirectly tells whether a task of a job may be started straight on a worker. One that has to
+// remember too much gets its starts with the answers to its reports, which are never carried out
+// late, and needn't be remembered.
+func (d *dispatcher) mayStartDirectly(m *machine, j *job) bool {
+	if d.fencingInForce() {
+		return !m.fence.Full()
+	}
+	return j.urgent() || m.fence.Remembered()+len(m.attempts) <= patientDirect
+}
 
 // handleLaterToken takes in a token beyond this term's. A successor has given it, unless our
 // lead is certain: then nobody can have, and the worker is left to itself.
