--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -70,6 +70,7 @@
 	desired         int
 	nextTry         uint64
 	refused         map[offer]time.Time
+	boots           *bootTimes
 	keptRoom        []*demand // what room is kept for, as of the last snapshot
 
 	queue     *groupcommit.Queue // what is to become durable
@@ -149,7 +150,7 @@
 		began: time.Now(), types: make(map[string]*storage.MachineType),
 		jobs: newJobTable(), machines: make(map[int]*machine),
 		reservations: storage.NewReservations(), classes: make(map[string]*class), rentals: make(map[string]storage.RentalRecord),
-		nextTry: role.Term * tryStride, refused: make(map[offer]time.Time),
+		nextTry: role.Term * tryStride, boots: newBootTimes(), refused: make(map[offer]time.Time),
 		queue: groupcommit.New(), bulkPace: groupcommit.NewBulkPace(scale(s.Report, commitPerReport)), removed: make(map[int]bool), place: true,
 		delegator: newDelegator(s), unreached: make(map[int]bool), sinceHeartbeat: func() time.Duration { return 0 },
 		gates: role.cluster.record, requestGate: func(upgrade.GateName) {},
--- a/internal/coordination/fake_cloud_test.go
+++ b/internal/coordination/fake_cloud_test.go
@@ -23,6 +23,7 @@
 	loseOne bool // the answer to the next rental is lost
 	full    func(storage.RentalRecord) bool
 	boot    time.Duration // 0: by type
+	gone    map[int]bool  // returned before they came up
 }
 
 func (c *fakeCloud) Catalogue(context.Context) ([]storage.MachineType, error) { return testTypes, nil }
@@ -49,7 +50,11 @@
 		if boot == 0 {
 			boot = 15 * time.Second
 		}
-		time.AfterFunc(boot, func() { c.sim.addWorker(id, h.Type, h.Zone, h.Spot) })
+		time.AfterFunc(boot, func() {
+			if !c.returned(id) {
+				c.sim.addWorker(id, h.Type, h.Zone, h.Spot)
+			}
+		})
 	}
 	c.rentals[name] = got
 	if c.loseOne {
@@ -59,10 +64,20 @@
 	return got, nil
 }
 
+// returned tells whether a machine has been returned.
+func (c *fakeCloud) returned(id int) (gone bool) {
+	c.sim.locked(func() { gone = c.gone[id] })
+	return gone
+}
+
 func (c *fakeCloud) Return(_ context.Context, machines []int) error {
 	c.sim.mu.Lock()
 	defer c.sim.mu.Unlock()
 	for _, id := range machines {
+		if c.gone == nil {
+			c.gone = make(map[int]bool)
+		}
+		c.gone[id] = true
 		if wk := c.sim.workers[id]; wk != nil {
 			wk.dead.Store(true)
 		}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -28,19 +28,12 @@
 	boots    map[string]float64 // how long the types boot, in seconds
 }
 
-const (
-	// bootOverdueTimes: a machine that is not up after this many times its boot
-	// time no longer counts as coming; some take several times as long, some
-	// never come. After bootDeadTimes times it is returned: another comes sooner.
-	bootOverdueTimes = 1.6
-	bootDeadTimes    = 2.0
-)
-
 // snapshotFleet reckons the pressure: the waiting tasks' requested room minus the
 // free room on ready and booting machines, by a trial packing.
 func (d *dispatcher) snapshotFleet(now time.Time) fleetSnapshot {
 	v := fleetSnapshot{healthy: true, settled: d.listed, drains: d.drains}
 	p := &packing{exhausted: make(exhaustedShapes)}
+	d.learnSlowness(now)
 	fresh := d.settings.fresh()
 	for _, m := range d.order {
 		silent := now.Sub(m.lastHeard) > fresh
@@ -49,6 +42,7 @@
 			v.lost = append(v.lost, m.id)
 			continue
 		case !m.heard && len(m.attempts) == 0 && m.typ != nil && d.givenUp(m, now):
+			d.noteGivenUp(m, now)
 			v.lost = append(v.lost, m.id)
 			v.size++
 			continue
@@ -66,7 +60,7 @@
 			v.healthy = false
 			continue
 		}
-		if m.typ == nil || m.inTrouble(now) || (!m.heard && m.bootOverdue(now, bootOverdueTimes)) {
+		if m.typ == nil || m.inTrouble(now) || (!m.heard && d.bootOverdue(m, now)) {
 			continue
 		}
 		s := candidateOf(m)
@@ -86,21 +80,6 @@
 	return v
 }
 
-// givenUp tells whether a machine is let go that isn't heard: one that was up
-// once it has been silent for a lease and as long as another takes to boot, for
-// behind a cut it may be back sooner than that; one that never was up when it
-// is far overdue.
-func (d *dispatcher) givenUp(m *machine, now time.Time) bool {
-	if m.lastHeard.IsZero() {
-		return m.bootOverdue(now, bootDeadTimes)
-	}
-	return now.Sub(m.lastHeard) > d.settings.Lease+seconds(m.typ.BootS)
-}
-
-func (m *machine) bootOverdue(now time.Time, times float64) bool {
-	return m.typ != nil && now.Sub(m.born) > seconds(m.typ.BootS*times+5)
-}
-
 // drain has nothing more placed on a machine and moves its tasks: services and
 // what can save its progress restart elsewhere, others may finish unless the
 // machine is being taken.
@@ -159,7 +138,7 @@
 				continue
 			}
 			m = d.machine(l.Machine)
-			m.born = now.Add(-seconds(l.AgeS))
+			m.born, m.bornSeen = now.Add(-seconds(l.AgeS)), true
 			d.log.Info("unexpected machine", "machine", l.Machine, "type", l.Type, "zone", l.Zone, "spot", l.Spot)
 		}
 		if m.kind == "" {
@@ -203,7 +182,7 @@
 				continue
 			}
 			m = d.machine(id)
-			m.born, m.listedAt = now, now
+			m.born, m.bornSeen, m.listedAt = now, true, now
 		}
 		if m.kind == "" {
 			m.kind, m.zone, m.spot, m.typ = msg.rental.Type, msg.rental.Zone, msg.rental.Spot, d.types[msg.rental.Type]
--- a/internal/coordination/machine.go
+++ b/internal/coordination/machine.go
@@ -31,6 +31,7 @@
 	recorded            bool         // its record is durable or on its way
 
 	born      time.Time // first known of; the rental, if that was seen
+	bornSeen  bool      // that is the rental, and it isn't known yet what becomes of it
 	listedAt  time.Time // last seen in the cloud's list
 	failed    bool
 	draining  string // why nothing more is placed here; "" if ready
--- a/internal/coordination/packing.go
+++ b/internal/coordination/packing.go
@@ -228,8 +228,18 @@
 }
 
 // bestOffer finds the machine that holds what is left of a demand at the least
-// price a task, among those that the cloud hasn't refused lately.
+// price a task, among those that the cloud hasn't refused lately. Those that were rented and
+// didn't come up are taken if there are no others.
 func (d *dispatcher) bestOffer(p *packing, dm *demand, now time.Time) (offer, bool) {
+	best, ok := d.cheapestOffer(p, dm, now, func(o offer) bool { return !d.undelivered(o, now) })
+	if !ok {
+		best, ok = d.cheapestOffer(p, dm, now, func(offer) bool { return true })
+	}
+	return best, ok
+}
+
+// cheapestOffer is the cheapest of the offers that suit.
+func (d *dispatcher) cheapestOffer(p *packing, dm *demand, now time.Time, suits func(offer) bool) (offer, bool) {
 	s := &dm.job.spec
 	var best offer
 	bestCost := math.Inf(1)
@@ -245,7 +255,7 @@
 					continue
 				}
 				o := offer{name, zone, spot}
-				if at, ok := d.refused[o]; ok && now.Sub(at) < d.settings.Lease {
+				if at, ok := d.refused[o]; ok && now.Sub(at) < d.settings.Lease || !suits(o) {
 					continue
 				}
 				price := t.Price
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -84,6 +84,7 @@
 	if first {
 		// From here on only our own answers renew its lease.
 		m.heard, m.lastAnswered = true, now
+		d.noteUp(m, now)
 		if len(m.attempts) == 0 {
 			m.idleSince = now
 		}
