--- a/internal/coordination/capacity.go
+++ b/internal/coordination/capacity.go
@@ -200,8 +200,8 @@
 	} else if c.upSince.IsZero() {
 		c.upSince = now
 	}
-	// Pressure bars a shrink while it lasts, and for a cooldown after a step;
-	// the window is one of healthy reports.
+	// Pressure bars a shrink while it lasts, and for a cooldown after a step, but that of
+	// opportunistic work doesn't; the window is one of healthy reports.
 	if !v.healthy || frozen {
 		c.healthySince = time.Time{}
 	} else if c.healthySince.IsZero() {
@@ -211,12 +211,17 @@
 	if v.drains == c.drains { // an older snapshot doesn't know of the last drain
 		c.drained = !v.draining
 	}
+	pressed := len(v.wanted) > 0 && now.Sub(c.upSince) >= c.settings.Tuning.UpWindow
+	healthy := !v.draining && !c.healthySince.IsZero() && now.Sub(c.healthySince) >= c.settings.Tuning.DownWindow
 	switch {
 	case frozen || c.recording || len(c.rentals) > 0:
-	case len(v.wanted) > 0 && now.Sub(c.upSince) >= c.settings.Tuning.UpWindow:
+	case pressed && v.hurried > 0:
 		c.grow(v, now)
-	case !v.draining && !c.healthySince.IsZero() && now.Sub(c.healthySince) >= c.settings.Tuning.DownWindow:
+		c.coolTill = now.Add(c.settings.Tuning.Cooldown)
+	case healthy && len(v.surplus) > 0:
 		c.surplus = v.surplus
+	case pressed:
+		c.grow(v, now)
 	}
 }
 
@@ -243,7 +248,6 @@
 		c.log.Info("grow", "rental", name, "type", h.Type, "zone", h.Zone, "spot", h.Spot, "count", h.Count, "desired", c.desired)
 	}
 	c.upSince = now // what is still missing must hold for another window
-	c.coolTill = now.Add(c.settings.Tuning.Cooldown)
 	c.record(records, recordedMsg{rentals: names})
 }
 
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -17,6 +17,7 @@
 // fleetSnapshot is what the capacity actor needs to know, once a second.
 type fleetSnapshot struct {
 	wanted   []offer            // machines that would cover the pressure, in order
+	hurried  int                // how many of them are for other than opportunistic work; they come first
 	healthy  bool               // every machine's reports are fresh and nothing is unproved
 	surplus  []surplusMachine   // machines that could be returned, one after the other
 	emptied  []int              // drained machines without tasks, to be returned
@@ -69,11 +70,11 @@
 	if d.certain(now) {
 		d.learnPerGPU(now)
 		d.shortage(p, d.demands(now), v.size, now)
-		v.wanted, v.boots = p.wanted, make(map[string]float64, len(d.types))
+		v.wanted, v.hurried, v.boots = p.wanted, p.hurried(), make(map[string]float64, len(d.types))
 		for name, t := range d.types {
 			v.boots[name] = t.BootS
 		}
-		if len(v.wanted) == 0 && v.healthy && !v.draining {
+		if v.hurried == 0 && v.healthy && !v.draining {
 			v.surplus = d.findSurplus(p, now)
 		}
 	}
--- a/internal/coordination/opportunistic_test.go
+++ b/internal/coordination/opportunistic_test.go
@@ -108,6 +108,29 @@
 	})
 }
 
+// The idle tasks' wish for cheap machines had the fleet keep the dear ones, and rentals for them held up
+// those of services.
+func TestOpportunisticWishesNeitherKeepNorDelayOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(t, grownSettings())
+		d.accept(idleJob("000001", 4000))
+		m := d.up(1, "gpu", "a", false) // with nothing to do
+		time.Sleep(seconds(idlePerBoot*m.typ.BootS) + time.Second)
+		d.up(1, "gpu", "a", false)
+		v := d.snapshotFleet(time.Now())
+		if len(v.wanted) != maxRental || v.hurried != 0 {
+			t.Errorf("%d machines wanted, %d in a hurry", len(v.wanted), v.hurried)
+		}
+		if len(v.surplus) != 1 {
+			t.Errorf("%d surplus machines beside wishes for cheap ones", len(v.surplus))
+		}
+		d.accept(service("000002", 40))
+		if v := d.snapshotFleet(time.Now()); v.hurried != len(v.wanted)-maxRental || v.hurried == 0 || len(v.surplus) != 0 {
+			t.Errorf("%d of %d machines in a hurry, %d surplus", v.hurried, len(v.wanted), len(v.surplus))
+		}
+	})
+}
+
 // The first of several large jobs took all room, and the last began after minutes.
 func TestOpportunisticJobsShareEvenly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/coordination/packing.go
+++ b/internal/coordination/packing.go
@@ -22,6 +22,7 @@
 	exhausted  exhaustedShapes
 	wanted     []offer // machines that would hold what found no candidate
 	limit      int     // the most that may be wanted
+	idle       int     // of them for opportunistic work, the last
 	sizes      map[string]int
 }
 
@@ -53,6 +54,9 @@
 	}
 }
 
+// hurried is how many wanted machines are for other than opportunistic work.
+func (p *packing) hurried() int { return len(p.wanted) - p.idle }
+
 // wantedSteps is for how many steps of growth a snapshot finds wanted machines: those that boot
 // longest go first.
 const wantedSteps = 4
@@ -108,11 +112,16 @@
 		if !ok || len(p.wanted) >= p.limit {
 			break
 		}
-		if dm.opportunistic && !d.cheapFor(o, dm.job) {
-			if !d.footholdDue(dm.job, now) {
-				break
+		if dm.opportunistic {
+			if p.idle == maxRental {
+				break // more at a time would hold up what others need
+			}
+			if !d.cheapFor(o, dm.job) {
+				if !d.footholdDue(dm.job, now) {
+					break
+				}
+				dm.n = 1
 			}
-			dm.n = 1
 		}
 		typ := d.types[o.kind]
 		if dm.job.spec.Room.GPUs == 0 && typ.Room.GPUs > 0 {
@@ -123,6 +132,9 @@
 			}
 		}
 		p.wanted = append(p.wanted, o)
+		if dm.opportunistic {
+			p.idle++
+		}
 		p.sizes[o.zone]++
 		p.candidates = append(p.candidates, &candidate{offer: o, typ: typ, free: typ.Room, booting: true, plain: dm.job.spec.Room.GPUs == 0})
 		if !slices.Contains(p.zones, o.zone) {
--- a/internal/coordination/surplus.go
+++ b/internal/coordination/surplus.go
@@ -117,6 +117,9 @@
 		return false
 	}
 	for _, dm := range s.packed {
+		if dm.opportunistic && !d.cheapFor(s.offer, dm.job) {
+			continue // it waits for cheaper room
+		}
 		zones := newZoneCheck(dm.job)
 		o := d.fullest(p.candidates, dm.job, &zones, ready)
 		if o == nil {
