--- a/internal/activation/model_test.go
+++ b/internal/activation/model_test.go
@@ -4,28 +4,27 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"reflect"
+	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 )
 
-// The model is one model's record in a store with revisions, leaders that may end at any moment
-// and whose writes may be lost, unanswered or late, machines that carry starts out late, and nodes
+// The model is one model's record in a store with revisions, beside it the record of the attempt
+// that may be on a machine, leaders that may end at any moment and whose writes of the two may each be
+// lost, unanswered or late and come in either order, machines that carry starts out late, and nodes
 // that pass requests on by a view of the record that may be old.
 
-// write is a conditional write on its way.
+// write is a conditional write on its way: of the record, or of the attempt's.
 type write struct {
 	term, revision int
-	record         Record
+	record         *Record
+	attempt        uint64 // that may be on a machine, where record is nil
 }
 
 // instance is a replica on its machine.
-type instance struct {
-	generation uint64
-	attempt    int
-}
+type instance struct{ generation, attempt uint64 }
 
 // node passes requests on while it believes that the model is ready.
 type node struct {
@@ -47,14 +46,17 @@
 	now      time.Time
 	policy   Policy
 	record   Record
+	placed   uint64 // the attempt that the store has on a machine
 	revision int
 	term     int
 	view     Record // the leader's, with the revision that it was read at
 	viewed   int
+	bookedAt time.Time // of the leader's replica
+	attempts uint64    // numbers that were used
 	late     []write
 	live     map[instance]bool
-	gone     map[instance]bool // proved gone: a start that comes late is void
-	ordered  []instance        // starts on their way, again and again
+	gone     map[uint64]bool // attempts proved gone: a start that comes late is void
+	ordered  []instance      // starts on their way, again and again
 	nodes    []*node
 	acks     map[uint64]map[int]bool // who has acknowledged a drain
 	observed []Event                 // all that was ever seen, which may be told again late
@@ -67,8 +69,8 @@
 func newWorld() *world {
 	w := &world{
 		now:    time.UnixMilli(1e12),
-		policy: Policy{IdleWindow: 10 * time.Second, StartWithin: 20 * time.Second, Attempts: 3, Backoff: time.Second, Cooldown: 30 * time.Second, DrainTimeout: 15 * time.Second},
-		live:   map[instance]bool{}, gone: map[instance]bool{}, acks: map[uint64]map[int]bool{}, starts: map[uint64]int{},
+		policy: Policy{IdleWindow: 10 * time.Second, StartWithin: 20 * time.Second, StableAfter: 4 * time.Second, Attempts: 3, Backoff: time.Second, Cooldown: 30 * time.Second, DrainTimeout: 15 * time.Second},
+		live:   map[instance]bool{}, gone: map[uint64]bool{}, acks: map[uint64]map[int]bool{}, starts: map[uint64]int{},
 		transition: Record.Apply,
 	}
 	for range 3 {
@@ -82,29 +84,44 @@
 	w.faults = append(w.faults, fmt.Sprintf(format, args...))
 }
 
-// lead begins a term: the leader reads the record and goes on with what is pending.
+// lead begins a term: the leader reads what is stored and goes on with what is pending.
 func (w *world) lead() {
 	w.term++
-	w.view, w.viewed = w.record, w.revision
-	w.act(w.view.Pending(w.now))
+	w.viewed, w.bookedAt = w.revision, w.now
+	var action Action
+	w.view, action = w.record.Restore(w.placed, &w.policy, w.now)
+	if !w.view.SameStored(w.record) {
+		w.store(write{term: w.term, revision: w.viewed, record: &w.view})
+		w.viewed = w.revision
+	}
+	w.act(action)
 }
 
 // store carries a write out, if nothing bars it.
 func (w *world) store(t write) bool {
-	if t.term != w.term || t.revision != w.revision {
+	if t.term != w.term {
 		return false
 	}
-	if t.record.Generation != w.record.Generation && t.record.Generation != w.record.Generation+1 {
-		w.fault("generation %d follows %d", t.record.Generation, w.record.Generation)
+	if t.record == nil {
+		w.placed = t.attempt
+		return true
+	}
+	if t.revision != w.revision {
+		return false
 	}
-	raw, err := json.Marshal(t.record)
+	next := *t.record
+	if next.Generation != w.record.Generation && next.Generation != w.record.Generation+1 {
+		w.fault("generation %d follows %d", next.Generation, w.record.Generation)
+	}
+	raw, err := json.Marshal(next)
 	if err != nil {
 		w.fault("not encoded: %v", err)
 	}
-	if back, err := Decode("model", raw); err != nil || !reflect.DeepEqual(back, t.record) {
-		w.fault("%+v is read as %+v, %v", t.record, back, err)
+	back, err := Decode("model", raw)
+	if err != nil || !back.SameStored(next) {
+		w.fault("%+v is read as %+v, %v", next, back, err)
 	}
-	w.record = t.record
+	w.record = back
 	w.revision++
 	return true
 }
@@ -118,50 +135,62 @@
 	fates
 )
 
-// happen has the leader take in an event, and its write meet a fate.
-func (w *world) happen(e Event, fate int) {
+// happen has the leader take in an event, and its writes meet a fate. Where there are two, the first
+// of them is carried out whatever becomes of the second: attemptFirst tells which.
+func (w *world) happen(e Event, fate int, attemptFirst bool) {
 	w.observed = append(w.observed, e)
 	next, action := w.transition(w.view, e, &w.policy, w.now)
-	if reflect.DeepEqual(next, w.view) {
-		w.act(action)
-		return
+	var writes []write
+	if next.Replica != w.view.Replica {
+		writes = append(writes, write{term: w.term, attempt: next.Replica})
+		w.bookedAt = w.now
+	}
+	if !next.SameStored(w.view) {
+		writes = append(writes, write{term: w.term, revision: w.viewed, record: &next})
 	}
-	t := write{w.term, w.viewed, next}
-	switch fate {
-	case answered:
-		if w.store(t) {
-			w.view, w.viewed = w.record, w.revision
-			w.act(action)
+	if len(writes) == 2 && !attemptFirst {
+		slices.Reverse(writes)
+	}
+	if len(writes) == 2 {
+		w.store(writes[0])
+		writes = writes[1:]
+	}
+	for _, t := range writes {
+		switch fate {
+		case unanswered:
+			w.store(t)
+		case delayed:
+			w.late = append(w.late, t)
+		}
+		if fate != answered || !w.store(t) {
+			w.lead() // whose write isn't answered gives its lead up
 			return
 		}
-	case unanswered:
-		w.store(t)
-	case delayed:
-		w.late = append(w.late, t)
 	}
-	w.lead() // whose write isn't answered gives its lead up
+	w.view, w.viewed = next, w.revision
+	w.act(action)
 }
 
 // act carries an action out: starts and stops go through the ordinary path, which
 // starts nothing that was proved gone.
 func (w *world) act(a Action) {
 	r := &w.view
-	if (a == Start || a == Stop) && r.Replica == nil {
+	if (a == Start || a == Stop) && r.Replica == NoReplica {
 		w.fault("nothing is booked, and it is to start or stop")
 		return
 	}
 	switch a {
 	case Start:
-		w.ordered = append(w.ordered, instance{r.Generation, r.Replica.Attempt})
+		w.ordered = append(w.ordered, instance{r.Generation, r.Replica})
 	case Stop:
-		delete(w.live, instance{r.Generation, r.Replica.Attempt})
+		w.remove(r.Replica)
 	case Book, Drain, Nothing:
 	}
 }
 
 // arrive has a start that was ordered reach its machine, maybe not for the first time.
 func (w *world) arrive(i instance) {
-	if w.gone[i] || w.live[i] {
+	if w.gone[i.attempt] || w.running(i.attempt) {
 		return
 	}
 	w.live[i] = true
@@ -170,19 +199,45 @@
 	}
 }
 
+// running tells whether an attempt is on its machine.
+func (w *world) running(attempt uint64) bool {
+	for i := range w.live {
+		if i.attempt == attempt {
+			return true
+		}
+	}
+	return false
+}
+
+// remove ends an attempt on its machine.
+func (w *world) remove(attempt uint64) {
+	for i := range w.live {
+		if i.attempt == attempt {
+			delete(w.live, i)
+		}
+	}
+}
+
 // prove has the place of the leader's replica be proved empty; then no start of it counts.
-func (w *world) prove(fate int) {
-	if r := w.view.Replica; r != nil {
-		i := instance{w.view.Generation, r.Attempt}
-		delete(w.live, i)
-		w.gone[i] = true
-		w.happen(Gone{i.generation, i.attempt}, fate)
+func (w *world) prove(fate int, failed, attemptFirst bool) {
+	if r := w.view.Replica; r != NoReplica {
+		w.remove(r)
+		w.gone[r] = true
+		w.happen(Gone{w.view.Generation, r, failed}, fate, attemptFirst)
+	}
+}
+
+// book has room reserved for the next replica.
+func (w *world) book(fate int) {
+	if w.view.Replica == NoReplica {
+		w.attempts++
+		w.happen(Booked{w.view.Generation, w.attempts}, fate, false)
 	}
 }
 
 func (w *world) answer(fate int) {
 	for i := range w.live {
-		w.happen(Answering{i.generation, i.attempt}, fate)
+		w.happen(Answering{i.generation, i.attempt}, fate, false)
 		return
 	}
 }
@@ -190,7 +245,7 @@
 // request is a user's request at a node.
 func (w *world) request(n *node, fate int) {
 	if !n.passesOn(w.now) {
-		w.happen(Demand{n.view.Generation}, fate)
+		w.happen(Demand{n.view.Generation}, fate, false)
 		return
 	}
 	if r := w.record; r.State == Stopping || r.Generation != n.view.Generation || r.State == Idle {
@@ -213,7 +268,7 @@
 	}
 	w.acks[n.drained][i] = true
 	if len(w.acks[n.drained]) == len(w.nodes) {
-		w.happen(Drained{n.drained}, answered)
+		w.happen(Drained{n.drained}, answered, false)
 	}
 }
 
@@ -231,9 +286,7 @@
 	case 2:
 		w.nodes[i].readRecord(w.record, w.now)
 	case 3:
-		if w.view.Replica == nil {
-			w.happen(Booked{w.view.Generation, choose(5), 1}, fate)
-		}
+		w.book(fate)
 	case 4, 5:
 		if len(w.ordered) > 0 {
 			w.arrive(w.ordered[choose(len(w.ordered))])
@@ -242,14 +295,14 @@
 		w.answer(fate)
 	case 8:
 		if w.view.Abandoned || w.view.State == Stopping || choose(4) == 0 {
-			w.prove(fate)
+			w.prove(fate, choose(2) == 0, choose(2) == 0)
 		}
 	case 9:
-		w.happen(Quiet{w.view.Generation, w.now.Add(-w.policy.IdleWindow)}, fate)
+		w.happen(Quiet{w.view.Generation, w.now.Add(-w.policy.IdleWindow)}, fate, false)
 	case 10:
 		w.acknowledge(i)
 	case 11:
-		w.happen(Tick{}, fate)
+		w.happen(Tick{w.now.Sub(w.bookedAt)}, fate, false)
 	case 12:
 		if len(w.late) > 0 {
 			w.store(w.late[choose(len(w.late))])
@@ -260,7 +313,7 @@
 			w.lead()
 		case 1:
 			if len(w.observed) > 0 {
-				w.happen(w.observed[choose(len(w.observed))], fate)
+				w.happen(w.observed[choose(len(w.observed))], fate, choose(2) == 0)
 			}
 		}
 	}
@@ -273,24 +326,27 @@
 		w.now = w.now.Add(15 * time.Second)
 		switch w.view.State {
 		case Starting:
-			if w.happen(Tick{}, answered); w.view.Abandoned {
-				w.prove(answered)
-			} else if w.view.Replica == nil {
-				w.happen(Booked{w.view.Generation, 1, 1}, answered)
+			if w.happen(Tick{w.now.Sub(w.bookedAt)}, answered, false); w.view.Abandoned {
+				w.prove(answered, false, false)
+			} else if w.view.Replica == NoReplica {
+				w.book(answered)
 			} else {
-				w.arrive(instance{w.view.Generation, w.view.Replica.Attempt})
+				w.arrive(instance{w.view.Generation, w.view.Replica})
 				w.answer(answered)
 			}
 		case Ready:
-			w.happen(Quiet{w.view.Generation, w.now.Add(-w.policy.IdleWindow)}, answered)
+			w.happen(Quiet{w.view.Generation, w.now.Add(-w.policy.IdleWindow)}, answered, false)
 		case Draining:
 			for i := range w.nodes {
 				w.acknowledge(i)
 			}
 		case Stopping:
-			w.prove(answered)
+			w.prove(answered, false, false)
 		case Idle, Failed, "":
-			return
+			if w.view.Replica == NoReplica {
+				return
+			}
+			w.prove(answered, false, false)
 		}
 	}
 	w.fault("never at rest: %s", w.record)
@@ -338,11 +394,12 @@
 			if next, action := r.Apply(e, p, now); !next.Abandoned {
 				return next, action
 			}
-			r.Replica = nil
+			r.Replica = NoReplica
 			return r.enter(Starting, now), Book
 		},
 		"demand for an earlier generation wakes": func(r Record, e Event, p *Policy, now time.Time) (Record, Action) {
 			if _, demand := e.(Demand); demand && r.State == Stopping {
+				r.Replica = NoReplica
 				return r.wake(now)
 			}
 			return r.Apply(e, p, now)
@@ -360,8 +417,8 @@
 			return r.enter(Stopping, now), Stop
 		},
 		"the word on an earlier replica counts": func(r Record, e Event, p *Policy, now time.Time) (Record, Action) {
-			if gone, ok := e.(Gone); ok && r.Replica != nil {
-				gone.Generation, gone.Attempt = r.Generation, r.Replica.Attempt
+			if gone, ok := e.(Gone); ok && r.Replica != NoReplica {
+				gone.Generation, gone.Attempt = r.Generation, r.Replica
 				e = gone
 			}
 			return r.Apply(e, p, now)
--- a/internal/activation/policy.go
+++ b/internal/activation/policy.go
@@ -6,7 +6,8 @@
 type Policy struct {
 	IdleWindow   time.Duration // without a request before it stops
 	StartWithin  time.Duration // the longest that a start may take before it is given up
-	Attempts     int           // starts of one wake
+	StableAfter  time.Duration // a replica that fails sooner after it answered counts as a start that failed
+	Attempts     int           // starts of one wake that may fail in a row
 	Backoff      time.Duration // pause after the first start that failed; doubled after each
 	Cooldown     time.Duration // pause after the last; longer than a node may go by an old record
 	DrainTimeout time.Duration // the longest that a drain waits for requests in flight
--- a/internal/activation/record.go
+++ b/internal/activation/record.go
@@ -25,12 +25,8 @@
 	Failed   State = "failed"   // all starts of this generation have failed; it cools down
 )
 
-// Replica is a booked attempt to run the model.
-type Replica struct {
-	Attempt int    `json:"attempt"` // of its generation, from 1
-	Machine int    `json:"machine"`
-	Session uint64 `json:"session"`
-}
+// NoReplica stands for the number of an attempt where there is none.
+const NoReplica uint64 = 0
 
 // Record is a model's lifecycle as it is stored. The zero record is an idle model that
 // never ran.
@@ -38,14 +34,13 @@
 	State State `json:"state"`
 	// Generation grows by one with each wake.
 	Generation uint64 `json:"generation"`
-	// Attempts is how many replicas of this generation have been booked, and Failures how many
-	// of them in a row were gone before they answered.
-	Attempts int `json:"attempts,omitempty"`
+	// Failures is how many starts in a row have failed, in this generation.
 	Failures int `json:"failures,omitempty"`
 	// Drain numbers the drains of all generations: a node's word on one says nothing of the next.
 	Drain uint64 `json:"drain,omitempty"`
-	// Replica is the one whose place isn't proved empty; nil: there is none.
-	Replica *Replica `json:"replica,omitempty"`
+	// Replica is the number of the attempt whose place isn't proved empty. It is not stored: where
+	// replicas may be stands in the scheduler's records of attempts alone, and Restore brings it in.
+	Replica uint64 `json:"-"`
 	// Abandoned tells that the replica is to be stopped, and another one started once it is
 	// gone.
 	Abandoned bool `json:"abandoned,omitempty"`
@@ -78,43 +73,58 @@
 
 // inconsistency tells what no sequence of transitions leads to; "": nothing.
 func (r *Record) inconsistency() string {
-	replica := r.Replica != nil
 	switch {
-	case r.Attempts < 0 || r.Failures < 0 || r.Failures > r.Attempts || replica && r.Failures == r.Attempts:
-		return "it counts attempts wrongly"
-	case replica && (r.Replica.Attempt != r.Attempts || r.Attempts == 0):
-		return "its replica is not the last attempt"
-	case r.Abandoned && (!replica || r.State != Starting):
-		return "it has abandoned no replica"
+	case r.Failures < 0:
+		return "it counts failures wrongly"
+	case r.Abandoned && r.State != Starting:
+		return "it has abandoned a replica without starting one"
 	case r.WakeWanted && r.State != Stopping:
 		return "a wake is wanted though nothing is being stopped"
+	case r.State != Idle && r.Generation == 0:
+		return "it has no generation"
 	}
 	switch r.State {
-	case Idle, Failed:
-		if replica {
-			return fmt.Sprintf("it is %s with a replica", r.State)
-		}
-	case Ready, Stopping:
-		if !replica {
-			return fmt.Sprintf("it is %s without a replica", r.State)
-		}
-	case Starting, Draining:
-	default:
-		return fmt.Sprintf("unknown state %q", r.State)
+	case Idle, Starting, Ready, Draining, Stopping, Failed:
+		return ""
 	}
-	if r.State != Idle && r.Generation == 0 {
-		return "it has no generation"
+	return fmt.Sprintf("unknown state %q", r.State)
+}
+
+// SameStored tells whether two records are stored alike.
+func (r Record) SameStored(other Record) bool {
+	r.Replica, other.Replica = NoReplica, NoReplica
+	return r == other
+}
+
+// Restore brings in what a new leader finds in the records of attempts: the attempt whose place
+// isn't proved empty, or NoReplica. The two are written independently of each other, so the record
+// may be ahead of the attempts, or behind them.
+func (r Record) Restore(replica uint64, p *Policy, now time.Time) (Record, Action) {
+	r.Replica = replica
+	if replica != NoReplica {
+		return r, r.Pending(now)
+	}
+	lost := r.State == Ready || r.State == Stopping || r.Abandoned
+	if !lost {
+		return r, r.Pending(now)
 	}
-	return ""
+	r.Replica = lostReplica // its place was proved empty, and that was all that became durable
+	return r.Apply(Gone{Generation: r.Generation, Attempt: lostReplica}, p, now)
 }
 
+// lostReplica stands for an attempt whose record is gone already.
+const lostReplica uint64 = 1
+
 // enter returns the record in another state.
 func (r Record) enter(state State, now time.Time) Record {
 	r.State, r.SinceMS = state, now.UnixMilli()
 	return r
 }
 
-// rests is how long no replica may be booked yet.
-func (r *Record) rests(now time.Time) time.Duration {
+// Rests is how long no replica may be booked yet.
+func (r *Record) Rests(now time.Time) time.Duration {
 	return max(0, time.UnixMilli(r.NotBeforeMS).Sub(now))
 }
+
+// age is for how long the record has been in its state.
+func (r *Record) age(now time.Time) time.Duration { return now.Sub(time.UnixMilli(r.SinceMS)) }
--- a/internal/activation/transition.go
+++ b/internal/activation/transition.go
@@ -27,21 +27,23 @@
 type (
 	// Demand is a request for the model at some node, which knows of this generation.
 	Demand struct{ Generation uint64 }
-	// Booked tells where room has been reserved for the next replica.
+	// Booked tells that room has been reserved for the next replica. Attempts are numbered by the
+	// scheduler, which never uses a number again.
 	Booked struct {
 		Generation uint64
-		Machine    int
-		Session    uint64
+		Attempt    uint64
 	}
 	// Answering tells that a replica answers requests.
 	Answering struct {
 		Generation uint64
-		Attempt    int
+		Attempt    uint64
 	}
-	// Gone tells that a replica's place is proved empty.
+	// Gone tells that a replica's place is proved empty. Failed: it ended by itself, rather than
+	// with its machine or by an order.
 	Gone struct {
 		Generation uint64
-		Attempt    int
+		Attempt    uint64
+		Failed     bool
 	}
 	// Quiet tells that all nodes have seen no request for the model since a time, by fresh reports.
 	Quiet struct {
@@ -51,8 +53,8 @@
 	// Drained tells that every node passes nothing on any more, by its word on this very drain or
 	// because its lease has run out, and that nothing is in flight.
 	Drained struct{ Drain uint64 }
-	// Tick tells that time has passed.
-	Tick struct{}
+	// Tick tells that time has passed, and for how long the present replica has been booked.
+	Tick struct{ Booked time.Duration }
 )
 
 // Apply moves a record by an event. A record that stays as it is needs no write. What is late,
@@ -66,16 +68,20 @@
 		switch {
 		case r.Abandoned:
 			return Stop
-		case r.Replica != nil:
+		case r.Replica != NoReplica:
 			return Start
-		case r.rests(now) == 0:
+		case r.Rests(now) == 0:
 			return Book
 		}
 	case Draining:
 		return Drain
 	case Stopping:
 		return Stop
-	case Idle, Ready, Failed:
+	case Idle, Failed:
+		if r.Replica != NoReplica {
+			return Stop // the record was durable before the attempt's end was
+		}
+	case Ready:
 	}
 	return Nothing
 }
@@ -84,7 +90,7 @@
 func (r Record) wake(now time.Time) (Record, Action) {
 	next := r.enter(Starting, now)
 	next.Generation++
-	next.Attempts, next.Failures, next.Replica, next.Abandoned, next.WakeWanted, next.NotBeforeMS = 0, 0, nil, false, false, 0
+	next.Failures, next.Abandoned, next.WakeWanted, next.NotBeforeMS = 0, false, false, 0
 	return next, Book
 }
 
@@ -93,10 +99,8 @@
 		return r, Nothing // its node learns where things stand, and asks again if it must
 	}
 	switch r.State {
-	case "", Idle:
-		return r.wake(now)
-	case Failed:
-		if r.rests(now) == 0 {
+	case "", Idle, Failed:
+		if r.Rests(now) == 0 && r.Replica == NoReplica {
 			return r.wake(now)
 		}
 	case Draining:
@@ -110,32 +114,29 @@
 
 // revive calls a drain off.
 func (r Record) revive(now time.Time) (Record, Action) {
-	if r.Replica == nil {
+	if r.Replica == NoReplica {
 		return r.enter(Starting, now), Book
 	}
 	return r.enter(Ready, now), Nothing
 }
 
 func (e Booked) apply(r Record, _ *Policy, now time.Time) (Record, Action) {
-	if r.State != Starting || e.Generation != r.Generation || r.Replica != nil || r.rests(now) > 0 {
+	if r.State != Starting || e.Generation != r.Generation || r.Replica != NoReplica || r.Rests(now) > 0 {
 		return r, Nothing
 	}
-	next := r.enter(Starting, now)
-	next.Attempts++
-	next.Replica = &Replica{Attempt: next.Attempts, Machine: e.Machine, Session: e.Session}
-	return next, Start
+	r.Replica = e.Attempt
+	return r, Start
 }
 
 // isReplica tells whether an event is about the present replica.
-func (r *Record) isReplica(generation uint64, attempt int) bool {
-	return generation == r.Generation && r.Replica != nil && r.Replica.Attempt == attempt
+func (r *Record) isReplica(generation, attempt uint64) bool {
+	return generation == r.Generation && r.Replica != NoReplica && r.Replica == attempt
 }
 
 func (e Answering) apply(r Record, _ *Policy, now time.Time) (Record, Action) {
 	if r.State != Starting || r.Abandoned || !r.isReplica(e.Generation, e.Attempt) {
 		return r, Nothing
 	}
-	r.Failures = 0
 	return r.enter(Ready, now), Nothing
 }
 
@@ -143,7 +144,8 @@
 	if !r.isReplica(e.Generation, e.Attempt) {
 		return r, Nothing
 	}
-	r.Replica, r.Abandoned = nil, false
+	failed := e.Failed || r.Abandoned
+	r.Replica, r.Abandoned = NoReplica, false
 	switch r.State {
 	case Stopping:
 		if r.WakeWanted {
@@ -153,29 +155,33 @@
 	case Draining:
 		return r, Nothing // the nodes may still pass requests on to it
 	case Starting:
-		r.Failures++
-		return r.startAnew(p, now)
+		return r.startAnew(failed, p, now)
 	case Ready:
-		return r.startAnew(p, now)
+		stable := r.age(now) >= p.StableAfter
+		if stable {
+			r.Failures = 0
+		}
+		return r.startAnew(failed && !stable, p, now)
 	case Idle, Failed:
 	}
 	return r, Nothing
 }
 
 // startAnew goes on after a replica that is gone without having been stopped for lack of
-// requests: the same generation starts anew, so many times after starts that failed and with
-// growing pauses.
-func (r Record) startAnew(p *Policy, now time.Time) (Record, Action) {
-	if r.Failures >= p.Attempts {
-		next := r.enter(Failed, now)
-		next.NotBeforeMS = now.Add(p.Cooldown).UnixMilli()
-		return next, Nothing
-	}
+// requests: the same generation starts anew, at once or, after starts that failed, so many times and
+// with growing pauses.
+func (r Record) startAnew(failed bool, p *Policy, now time.Time) (Record, Action) {
 	next := r.enter(Starting, now)
-	if r.Failures == 0 {
+	if !failed {
 		return next, Book
 	}
-	next.NotBeforeMS = now.Add(p.backoff(r.Failures)).UnixMilli()
+	next.Failures++
+	if next.Failures >= p.Attempts {
+		next.State = Failed
+		next.NotBeforeMS = now.Add(p.Cooldown).UnixMilli()
+		return next, Nothing
+	}
+	next.NotBeforeMS = now.Add(p.backoff(next.Failures)).UnixMilli()
 	return next, Nothing
 }
 
@@ -195,21 +201,20 @@
 	if r.State != Draining || e.Drain != r.Drain {
 		return r, Nothing
 	}
-	if r.Replica == nil {
+	if r.Replica == NoReplica {
 		return r.enter(Idle, now), Nothing
 	}
 	return r.enter(Stopping, now), Stop
 }
 
-func (Tick) apply(r Record, p *Policy, now time.Time) (Record, Action) {
-	age := now.Sub(time.UnixMilli(r.SinceMS))
+func (e Tick) apply(r Record, p *Policy, now time.Time) (Record, Action) {
 	switch {
-	case r.State == Starting && r.Replica == nil && r.rests(now) == 0:
+	case r.State == Starting && r.Replica == NoReplica && r.Rests(now) == 0:
 		return r, Book
-	case r.State == Starting && r.Replica != nil && age > p.StartWithin:
+	case r.State == Starting && r.Replica != NoReplica && e.Booked > p.StartWithin:
 		r.Abandoned = true
 		return r, Stop
-	case r.State == Draining && age > p.DrainTimeout:
+	case r.State == Draining && r.age(now) > p.DrainTimeout:
 		return r.revive(now) // someone still uses it
 	}
 	return r, Nothing
@@ -217,8 +222,8 @@
 
 // String writes a record for operators.
 func (r Record) String() string {
-	if r.Replica == nil {
+	if r.Replica == NoReplica {
 		return fmt.Sprintf("%s, generation %d", r.State, r.Generation)
 	}
-	return fmt.Sprintf("%s, generation %d, attempt %d on machine %d", r.State, r.Generation, r.Replica.Attempt, r.Replica.Machine)
+	return fmt.Sprintf("%s, generation %d, attempt %d", r.State, r.Generation, r.Replica)
 }
--- /dev/null
+++ b/internal/coordination/activation.go
@@ -0,0 +1,319 @@
+package coordination
+
+import (
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sagevale/internal/activation"
+	"sagevale/internal/storage"
+	"sagevale/internal/upgrade"
+)
+
+// ActivationTuning is the operators' part of services that may be at zero.
+type ActivationTuning struct {
+	Classes []string // whose services of one task run only once there is demand
+	Policy  activation.Policy
+	Listen  string // where requests for the models are taken; "": nowhere
+	Target  string // address of a model's server, with TargetHost in it
+	Body    int64  // the largest request that is passed on, in bytes
+}
+
+// TargetHost stands for the host of a model's machine in ActivationTuning.Target.
+const TargetHost = "{host}"
+
+// Ratios of the defaults to the workers' lease.
+const (
+	startPerLease    = 10.0
+	stablePerLease   = 1.0
+	backoffPerLease  = 0.1
+	cooldownPerLease = 4.0
+	startAttempts    = 5
+)
+
+// defaultBody is the largest request that is passed on.
+const defaultBody = 4 << 20
+
+func (s *Settings) defaultActivation() ActivationTuning {
+	return ActivationTuning{
+		Policy: activation.Policy{
+			StartWithin: scale(s.Lease, startPerLease), StableAfter: scale(s.Lease, stablePerLease),
+			Attempts: startAttempts, Backoff: scale(s.Lease, backoffPerLease), Cooldown: scale(s.Lease, cooldownPerLease),
+		},
+		Target: TargetHost + ":8000", Body: defaultBody,
+	}
+}
+
+// RoutingLease is the longest that a controller may pass requests on by one answer of the leader.
+func (s *Settings) RoutingLease() time.Duration { return s.Report }
+
+// wakeIntervals is how many times within a report interval a controller asks again for a model that
+// doesn't answer yet.
+const wakeIntervals = 8
+
+// WakeInterval is for how long a controller goes by an answer that a model isn't ready.
+func (s *Settings) WakeInterval() time.Duration { return s.Report / wakeIntervals }
+
+// managedService is a service that may be at zero, as the leader holds it.
+type managedService struct {
+	job       *job
+	record    activation.Record
+	damaged   json.RawMessage // what is stored, if it can't be understood
+	unwritten int             // moves of the record that aren't durable yet
+	wokenAt   time.Time       // when the present wake began, if that was in this term
+}
+
+// stored is the record as it goes into the job's.
+func (s *managedService) stored() json.RawMessage {
+	if s.damaged != nil {
+		return s.damaged
+	}
+	raw, err := json.Marshal(s.record)
+	if err != nil {
+		return nil // no value of the type fails
+	}
+	return raw
+}
+
+// mayPlace tells whether the service's task may be placed: its wake is durable, and nothing else is to
+// be awaited. A service that isn't managed, nil, always may.
+func (s *managedService) mayPlace(now time.Time) bool {
+	return s == nil || s.damaged == nil && s.unwritten == 0 && s.record.Pending(now) == activation.Book
+}
+
+// replica returns the attempt that the record is about, or nil.
+func (s *managedService) replica() *attempt {
+	for _, a := range s.job.attempts {
+		if a.try == s.record.Replica {
+			return a
+		}
+	}
+	return nil
+}
+
+// activationHost is what the activation controller needs of the scheduler.
+type activationHost interface {
+	// recordJob has a job's record written, and calls then once it is durable as it is now.
+	recordJob(j *job, then func(error))
+	// afterJobCommit calls then once a job's record is durable as it is marked now.
+	afterJobCommit(j *job, then func(error))
+	// stop has an attempt stopped.
+	stop(a *attempt, graceS float64)
+	// orderStops tells the workers of a job's stopped attempts directly.
+	orderStops(j *job)
+	// placeSoon has placement look at the jobs.
+	placeSoon()
+}
+
+// recordJob is part of activationHost.
+func (d *dispatcher) recordJob(j *job, then func(error)) {
+	d.markJob(j)
+	d.onJobCommit(j, then)
+}
+
+// afterJobCommit is part of activationHost.
+func (d *dispatcher) afterJobCommit(j *job, then func(error)) { d.onJobCommit(j, then) }
+
+// placeSoon is part of activationHost.
+func (d *dispatcher) placeSoon() { d.place = true }
+
+// activationController moves the lifecycles of the services that may be at zero. Each move is
+// durable before anything rests on it. It belongs to the dispatcher's goroutine.
+type activationController struct {
+	tuning   *ActivationTuning
+	settings *Settings
+	host     activationHost
+	log      *slog.Logger
+	gate     upgrade.GateState
+	services map[string]*managedService // by job
+	starting map[string]*managedService // those of them that are to start, or start
+	starts   map[string]*hdrhistogram.Histogram
+	removing int // records whose removal isn't durable yet
+}
+
+func newActivationController(settings *Settings, gate upgrade.GateState, host activationHost, log *slog.Logger) *activationController {
+	return &activationController{
+		tuning: &settings.Tuning.Activation, settings: settings, gate: gate, host: host, log: log,
+		services: make(map[string]*managedService), starting: make(map[string]*managedService),
+		starts: make(map[string]*hdrhistogram.Histogram),
+	}
+}
+
+// applies tells whether the operators want a service at zero while there is no demand. Services of
+// several tasks always run.
+func (c *activationController) applies(spec *storage.Spec) bool {
+	return spec.Service && !spec.Gang && spec.Tasks == 1 && slices.Contains(c.tuning.Classes, spec.Class)
+}
+
+// uses counts what depends on the gate.
+func (c *activationController) uses() int { return len(c.services) + c.removing }
+
+// begin takes in a service that was just submitted. It is idle; the job's record tells so.
+func (c *activationController) begin(j *job, now time.Time) {
+	c.hold(&managedService{job: j, record: activation.Record{State: activation.Idle, SinceMS: now.UnixMilli()}})
+}
+
+func (c *activationController) hold(s *managedService) {
+	s.job.managed = s
+	c.services[s.job.spec.ID] = s
+}
+
+// load takes in what a job's record holds. A record that can't be understood stays as it is.
+func (c *activationController) load(j *job, raw json.RawMessage) {
+	record, err := activation.Decode(storage.JobKey(j.spec.ID), raw)
+	if err != nil {
+		c.log.Error("service neither started nor stopped", "job", j.spec.ID, "err", err)
+		c.hold(&managedService{job: j, damaged: raw})
+		return
+	}
+	c.hold(&managedService{job: j, record: record})
+}
+
+// loaded goes on where the records of a new term stand, now that the attempts are known.
+func (c *activationController) loaded(now time.Time) {
+	for _, s := range c.services {
+		if s.damaged != nil {
+			continue
+		}
+		replica := activation.NoReplica
+		for _, a := range s.job.attempts {
+			replica = a.try
+		}
+		next, _ := s.record.Restore(replica, &c.tuning.Policy, now)
+		c.move(s, next, now)
+	}
+	c.bringUpUnlisted()
+}
+
+// setGate takes in whether lifecycles may be in use. While they may not, every service comes up.
+func (c *activationController) setGate(gate upgrade.GateState) {
+	c.gate = gate
+	c.bringUpUnlisted()
+}
+
+// bringUpUnlisted has those services run always that are no longer to be at zero.
+func (c *activationController) bringUpUnlisted() {
+	for _, s := range c.services {
+		if c.gate.Phase != upgrade.GateOpen || !c.applies(&s.job.spec) {
+			c.bringUp(s)
+		}
+	}
+}
+
+// bringUp removes a service's record: it runs like any other.
+func (c *activationController) bringUp(s *managedService) {
+	c.log.Info("activation", "job", s.job.spec.ID, "step", "runs always from now on", "generation", s.record.Generation)
+	c.end(s.job)
+	c.removing++
+	c.host.recordJob(s.job, func(err error) {
+		if err == nil {
+			c.removing--
+		}
+	})
+	c.host.placeSoon()
+}
+
+// end lets go of a service, which is cancelled or runs always from now on.
+func (c *activationController) end(j *job) {
+	delete(c.services, j.spec.ID)
+	delete(c.starting, j.spec.ID)
+	j.managed = nil
+}
+
+// apply moves a service's record by an event.
+func (c *activationController) apply(s *managedService, e activation.Event, now time.Time) {
+	if s.damaged != nil {
+		return
+	}
+	next, _ := s.record.Apply(e, &c.tuning.Policy, now)
+	c.move(s, next, now)
+}
+
+// move takes a record as it was moved, has it written if it is stored otherwise now, and goes on once
+// that is durable.
+func (c *activationController) move(s *managedService, next activation.Record, now time.Time) {
+	before := s.record
+	s.record = next
+	c.noteStarting(s)
+	if next.SameStored(before) {
+		c.act(s, now)
+		return
+	}
+	c.log.Info("activation", "job", s.job.spec.ID, "class", s.job.spec.Class, "state", next.State, "generation", next.Generation, "failures", next.Failures, "before", before.State)
+	s.unwritten++
+	c.host.recordJob(s.job, func(err error) {
+		s.unwritten--
+		if err == nil && s.job.managed == s {
+			c.act(s, time.Now())
+		}
+	})
+}
+
+// noteStarting keeps the set of services that time moves.
+func (c *activationController) noteStarting(s *managedService) {
+	if s.record.State == activation.Starting {
+		c.starting[s.job.spec.ID] = s
+		return
+	}
+	delete(c.starting, s.job.spec.ID)
+}
+
+// act carries out what the record asks for, if it is durable. Starts go by the ordinary path of any
+// task, once placement has booked room for them.
+func (c *activationController) act(s *managedService, now time.Time) {
+	if s.unwritten > 0 {
+		return
+	}
+	switch s.record.Pending(now) {
+	case activation.Book:
+		c.host.placeSoon()
+	case activation.Stop:
+		if a := s.replica(); a != nil && !a.stop {
+			c.host.stop(a, 0)
+			c.host.orderStops(s.job)
+		}
+	case activation.Nothing, activation.Start, activation.Drain:
+	}
+}
+
+// booked takes in an attempt that was booked, or found.
+func (c *activationController) booked(a *attempt, now time.Time) {
+	if s := a.job.managed; s != nil && !a.stop {
+		c.apply(s, activation.Booked{Generation: s.record.Generation, Attempt: a.try}, now)
+	}
+}
+
+// running takes in that an attempt runs: its model answers.
+func (c *activationController) running(a *attempt, now time.Time) {
+	s := a.job.managed
+	if s == nil {
+		return
+	}
+	starting := s.record.State == activation.Starting
+	c.apply(s, activation.Answering{Generation: s.record.Generation, Attempt: a.try}, now)
+	if starting && s.record.State == activation.Ready && !s.wokenAt.IsZero() {
+		c.noteStart(s.job.spec.Class, now.Sub(s.wokenAt))
+		s.wokenAt = time.Time{}
+	}
+}
+
+// gone takes in that an attempt's place is proved empty.
+func (c *activationController) gone(a *attempt, now time.Time) {
+	if s := a.job.managed; s != nil {
+		c.apply(s, activation.Gone{Generation: s.record.Generation, Attempt: a.try, Failed: a.failed}, now)
+	}
+}
+
+// tick does what the clock asks for. Idle services cost nothing.
+func (c *activationController) tick(now time.Time) {
+	for _, s := range c.starting {
+		var booked time.Duration
+		if a := s.replica(); a != nil {
+			booked = now.Sub(a.booked)
+		}
+		c.apply(s, activation.Tick{Booked: booked}, now)
+	}
+}
--- a/internal/coordination/archiving.go
+++ b/internal/coordination/archiving.go
@@ -148,6 +148,7 @@
 	}
 	d.log.Error("an open job is archived as final", "job", j.spec.ID, "phase", r.Final.Phase())
 	j.phase, j.done, j.known, j.settled = r.Final.Phase(), r.Final.Done, true, true
+	d.activation.end(j)
 	d.jobs.cancel(j)
 	d.markJob(j)
 	d.stopAll(j)
--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -18,8 +18,11 @@
 const rateLeases = 8.0
 
 // arrival notes a job of its class. What comes within a lease of the first job
-// ever is the fleet's start, not a rate.
+// ever is the fleet's start, not a rate. Services that may be at zero are no arrivals.
 func (d *dispatcher) arrival(j *job) {
+	if j.managed != nil {
+		return // its task comes with demand
+	}
 	c := d.classes[j.spec.Class]
 	if c == nil {
 		c = &class{}
@@ -34,7 +37,7 @@
 
 // leave notes that a job of its class has been cancelled.
 func (d *dispatcher) leave(j *job, now time.Time) {
-	if c := d.classes[j.spec.Class]; c != nil {
+	if c := d.classes[j.spec.Class]; c != nil && j.managed == nil {
 		c.Departed(now, j.spec.Tasks)
 	}
 }
@@ -141,11 +144,11 @@
 	return out
 }
 
-// present counts a class's booked and waiting tasks.
+// present counts a class's booked and waiting tasks, but for services that may be at zero.
 func (d *dispatcher) present(class string) int {
 	n := 0
 	for _, j := range d.jobs.open {
-		if j.spec.Class == class && j.phase == storage.Open {
+		if j.spec.Class == class && j.phase == storage.Open && j.managed == nil {
 			n += len(j.attempts) + j.waiting
 		}
 	}
--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -62,6 +62,7 @@
 	archiveUsed     bool // jobs may be archived
 	archiveCompared bool // with the open jobs
 	moving          bool // finished jobs are offered to the archive
+	activation      *activationController
 	machines        map[int]*machine
 	order           []*machine // the same, by number
 	reservations    *storage.Reservations
@@ -126,6 +127,8 @@
 		openGangs int
 		archive   bool // jobs may be archived: the archive itself is to be counted
 		moving    bool // jobs are on their way there
+
+		lifecycles int // records of services that may be at zero
 	}
 	committedMsg struct{ err error }
 	catalogueMsg struct{ types []storage.MachineType }
@@ -157,6 +160,7 @@
 	}
 	d.admission = d.newAdmission()
 	d.setRole(role)
+	d.activation = newActivationController(s, d.gates.Gate(upgrade.Activation), d, log)
 	d.useArchive()
 	return d, d.load(journal.Records())
 }
@@ -320,7 +324,7 @@
 		d.handleCommitted(m.err)
 	case gatesMsg:
 		d.setGates(m.record)
-		m.reply <- gateUses{d.jobs.openGangs(), d.archiveUsed, d.moving}
+		m.reply <- gateUses{d.jobs.openGangs(), d.archiveUsed, d.moving, d.activation.uses()}
 	case catalogueMsg:
 		d.setTypes(m.types)
 		d.mark(storage.CatalogueKey, func() any { return m.types })
@@ -338,6 +342,8 @@
 		}
 	case drainMsg:
 		d.drainSurplus(m)
+	case wakeMsg:
+		d.handleWake(m)
 	default:
 		d.log.Error("unknown message", "type", fmt.Sprintf("%T", m))
 	}
@@ -358,6 +364,7 @@
 	d.updatePeerRenewals()
 	d.expire(now)
 	d.tendGangs(now)
+	d.activation.tick(now)
 	d.resignToForget(now)
 	d.place = true
 	if !now.Before(d.snapshotAt) {
--- a/internal/coordination/fake_node_test.go
+++ b/internal/coordination/fake_node_test.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"sagevale/internal/activation"
+	"sagevale/internal/activator"
 	"sagevale/internal/storage/storagetest"
 	"sagevale/internal/upgrade"
 )
@@ -20,12 +22,13 @@
 	end      context.CancelFunc
 	cutState atomic.Bool
 	cutPeers atomic.Bool
-	cutWork  atomic.Bool                   // it doesn't reach the workers, nor they it
-	frozen   atomic.Pointer[chan struct{}] // it stands still until that is closed; nil: it doesn't
-	holdUp   atomic.Int64                  // its answers to other nodes' users come so much later
-	statuses map[string]PeerReport         // what the others told last
-	upgrade  func(*upgrade.Settings)       // changes what its next process brings to an upgrade
-	refused  atomic.Pointer[error]         // why its process ended by itself
+	cutWork  atomic.Bool                       // it doesn't reach the workers, nor they it
+	frozen   atomic.Pointer[chan struct{}]     // it stands still until that is closed; nil: it doesn't
+	holdUp   atomic.Int64                      // its answers to other nodes' users come so much later
+	statuses map[string]PeerReport             // what the others told last
+	upgrade  func(*upgrade.Settings)           // changes what its next process brings to an upgrade
+	refused  atomic.Pointer[error]             // why its process ended by itself
+	tracker  atomic.Pointer[activator.Tracker] // of its latest process, where services may be at zero
 	// unregistered is its process of a version that doesn't register; nil: none
 	unregistered atomic.Pointer[unregisteredProcess]
 }
@@ -52,6 +55,9 @@
 	n.live.Store(n.node)
 	go n.ping(ctx)
 	node := n.node
+	if len(s.Tuning.Activation.Classes) > 0 {
+		n.track(ctx, node, &s)
+	}
 	go func() {
 		err := node.Run(ctx)
 		switch {
@@ -64,6 +70,14 @@
 	}()
 }
 
+// track runs the process's tracker of models.
+func (n *fakeNode) track(ctx context.Context, node *Node, s *Settings) {
+	pace := activator.Pace{Retry: s.WakeInterval(), Timeout: s.Report, Remember: s.Lease}
+	tracker := activator.NewTracker(node, pace, rand.New(rand.NewPCG(11, uint64(len(n.name)))))
+	n.tracker.Store(tracker)
+	go tracker.Run(ctx)
+}
+
 // replace ends the node's process and begins one of another version.
 func (n *fakeNode) replace(version upgrade.Version) {
 	n.upgrade = func(s *upgrade.Settings) { *s = s.CappedAt(version) }
@@ -104,6 +118,22 @@
 	return Answer{}, fmt.Errorf("no way to %s", name)
 }
 
+// Wake is the peer link for demand.
+func (n *fakeNode) Wake(ctx context.Context, name string, req activation.WakeRequest) (activation.WakeResponse, error) {
+	for _, o := range n.sim.nodes {
+		if live := o.live.Load(); o.name == name && live != nil && !o.cutPeers.Load() && !n.cutPeers.Load() {
+			n.gate()
+			o.gate()
+			n.sim.noteWakeRequest(req)
+			response := live.LocalWake(ctx, req)
+			o.gate()
+			n.gate()
+			return response, ctx.Err()
+		}
+	}
+	return activation.WakeResponse{}, fmt.Errorf("no way to %s", name)
+}
+
 // Heartbeats is the peer link for reports.
 func (n *fakeNode) Heartbeats(ctx context.Context, name string, reports []*Report) ([]HeartbeatResponse, error) {
 	for _, o := range n.sim.nodes {
--- a/internal/coordination/fake_worker_test.go
+++ b/internal/coordination/fake_worker_test.go
@@ -50,6 +50,14 @@
 	ends  time.Time
 	since time.Time // in its state, of a gang's task
 	saved bool
+	fails bool // it ends in an error
+}
+
+// launch is a start that a worker took on.
+type launch struct {
+	at      time.Time
+	try     uint64
+	machine int
 }
 
 type lateOrders struct {
@@ -109,7 +117,7 @@
 	for k, t := range wk.tasks {
 		if t.state == Running && !t.ends.IsZero() && now.After(t.ends) {
 			t.state, t.cause = Ended, CauseDone
-			if wk.sick.Load() || wk.sim.mistaken[k.ID.Job] {
+			if t.fails || wk.sick.Load() || wk.sim.mistaken[k.ID.Job] {
 				t.cause = CauseError
 			}
 			wk.sim.ran[k.ID] = wk.sim.ran[k.ID] || t.cause == CauseDone
@@ -246,13 +254,17 @@
 	if at, ok := sim.cancelAt[k.ID.Job]; ok && time.Since(at) > sim.settings.Cancel {
 		sim.t.Errorf("ran_cancelled: %v started %v after", k.ID, time.Since(at))
 	}
+	sim.launches[k.ID.Job] = append(sim.launches[k.ID.Job], launch{time.Now(), k.Try, wk.id})
 	t := &workerTask{state: Running}
+	if after, fails := sim.failing[k.ID.Job]; fails {
+		t.fails, t.ends = true, time.Now().Add(after)
+	}
 	switch {
 	case wk.fetches.Load():
 		t.state = Pulling
 	case spec.Gang:
 		t.state, t.since = Gathering, time.Now()
-	case !spec.Service:
+	case !spec.Service && t.ends.IsZero():
 		t.ends = time.Now().Add(seconds(spec.EstimateS))
 	}
 	return t
--- a/internal/coordination/gates.go
+++ b/internal/coordination/gates.go
@@ -30,7 +30,7 @@
 // for a commit. Where the gate is closed its user is told at once to come back.
 func (d *dispatcher) awaitGate(m userMsg, name upgrade.GateName, now time.Time) {
 	if d.gates.Gate(name).Phase != upgrade.GateOpen {
-		m.reply <- Unavailable(m.req.ID, "not every controller is known to have gang jobs yet")
+		m.reply <- Unavailable(m.req.ID, "not every controller is known to have what it needs yet")
 		return
 	}
 	d.gateWaiters = append(d.gateWaiters, gateWaiter{m, now})
@@ -40,6 +40,7 @@
 func (d *dispatcher) setGates(record upgrade.Record) {
 	d.gates = record
 	d.useArchive()
+	d.activation.setGate(record.Gate(upgrade.Activation))
 	waiting := d.gateWaiters
 	d.gateWaiters = nil
 	for _, w := range waiting {
@@ -107,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	usage := upgrade.Usage{upgrade.GangJobs: uses.openGangs, upgrade.CompressedChunks: encoded}
+	usage := upgrade.Usage{upgrade.GangJobs: uses.openGangs, upgrade.CompressedChunks: encoded, upgrade.Activation: uses.lifecycles}
 	if uses.archive {
 		usage[upgrade.JobArchive], err = t.countArchived(ctx, record)
 	}
--- a/internal/coordination/job.go
+++ b/internal/coordination/job.go
@@ -38,6 +38,8 @@
 
 	failures  failures.Job
 	pauseTill time.Time
+
+	managed *managedService // of a service that may be at zero; nil: it always runs
 }
 
 // attempt is one booked try of a task on a machine. It stays until its place
@@ -53,6 +55,7 @@
 	booked  time.Time
 
 	seen           bool
+	failed         bool // it ended by itself, and not as it should
 	state          TaskState
 	started        time.Time
 	gatheringSince time.Time // since when it waits for the others of its gang
@@ -211,6 +214,9 @@
 	if j.phase != storage.Open {
 		rec.DoneOf = j.done
 	}
+	if j.phase == storage.Open && j.managed != nil {
+		rec.Activation = j.managed.stored()
+	}
 	return rec
 }
 
--- a/internal/coordination/lease_guards_test.go
+++ b/internal/coordination/lease_guards_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"sagevale/internal/activation"
 	"sagevale/internal/fencing"
 	"sagevale/internal/storage"
 )
@@ -156,6 +158,10 @@
 	return Answer{Peer: s[node].Wire()}, nil
 }
 
+func (scriptedPeers) Wake(context.Context, string, activation.WakeRequest) (activation.WakeResponse, error) {
+	return activation.WakeResponse{}, errors.New("not scripted")
+}
+
 func (s scriptedPeers) Heartbeats(context.Context, string, []*Report) ([]HeartbeatResponse, error) {
 	return nil, nil
 }
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -40,6 +40,7 @@
 			d.stopAll(j)
 		}
 	}
+	d.activation.loaded(time.Now())
 	return nil
 }
 
@@ -111,6 +112,9 @@
 			j.tasks, j.waiting = nil, 0
 		}
 	}
+	if rec.Activation != nil && rec.Phase == storage.Open {
+		d.activation.load(j, rec.Activation)
+	}
 	d.jobs.load(j)
 }
 
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -80,7 +80,7 @@
 func (d *dispatcher) waitingJobs(now time.Time) []*job {
 	var waiting []*job
 	for _, j := range d.jobs.open {
-		if j.phase == storage.Open && j.waiting > 0 && !now.Before(j.pauseTill) {
+		if j.phase == storage.Open && j.waiting > 0 && !now.Before(j.pauseTill) && j.managed.mayPlace(now) {
 			waiting = append(waiting, j)
 		}
 	}
--- a/internal/coordination/ports.go
+++ b/internal/coordination/ports.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"sagevale/internal/activation"
 	"sagevale/internal/storage"
 )
 
@@ -158,7 +159,7 @@
 
 // PeerVersion is what this program tells its peers. The versions that it reads and writes
 // stand in the state service. Commit af96c21 told 2, and 3661d31 nothing.
-const PeerVersion = firstWithTokenRanges
+const PeerVersion = firstWithActivation
 
 const (
 	// firstRegistering is the least that a process tells which registers its versions in
@@ -167,6 +168,8 @@
 	// firstWithTokenRanges is the least that a process tells whose terms have a range of
 	// tokens each.
 	firstWithTokenRanges = 4
+	// firstWithActivation is the least that a process tells which answers wake requests.
+	firstWithActivation = 5
 )
 
 // Outcome tells what became of a direct command.
@@ -260,6 +263,8 @@
 	Forward(ctx context.Context, node string, req UserRequest) (Answer, error)
 	// Heartbeats hands reports to the named node, which answers each.
 	Heartbeats(ctx context.Context, node string, reports []*Report) ([]HeartbeatResponse, error)
+	// Wake tells the named node of demand for a model; an error means that no answer came.
+	Wake(ctx context.Context, node string, req activation.WakeRequest) (activation.WakeResponse, error)
 	// Status is the named node's latest status; ok is false if there is none.
 	Status(node string) (w PeerReport, ok bool)
 	// SilentFor is for how long the named node has been out of reach; 0: it is
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -190,6 +190,7 @@
 				a.started = now
 				d.log.Debug("task running", "job", a.job.spec.ID, "class", a.job.spec.Class, "task", a.task, "machine", m.id,
 					"since_submit", now.Sub(a.job.submitted), "since_booking", now.Sub(a.booked))
+				d.activation.running(a, now)
 			}
 			m.useImage(a.job.spec.Image, a.job.spec.ImageGB, now)
 		case Ended:
@@ -215,7 +216,7 @@
 	if j != nil && t.ID.Task < len(j.tasks) && j.tasks[t.ID.Task] == taskWaiting && a == nil {
 		d.log.Info("adopting an unbooked task", "machine", m.id, "job", t.ID.Job, "task", t.ID.Task, "try", t.Try)
 		a = &attempt{job: j, task: t.ID.Task, try: t.Try, on: m, session: r.Session, booked: now, seen: true, state: t.State}
-		a.stop = j.phase != storage.Open
+		a.stop = j.phase != storage.Open || !j.managed.mayPlace(now)
 		d.enter(a)
 		d.markPage(j, a.task)
 		return
@@ -238,6 +239,7 @@
 	case CausePeers:
 		j.gang.over = true // the gang's failure, not the machine's
 	case CauseError:
+		a.failed = true
 		if j.gang.over {
 			m.failures.Failed(j.spec.ID) // the job's was counted with the first of the gang
 		} else {
@@ -267,6 +269,7 @@
 	if a.job.spec.Gang {
 		a.job.noteGang(a)
 	}
+	d.activation.booked(a, time.Now())
 }
 
 // free takes an attempt out of the reservations: its place is proved empty, or its
@@ -295,6 +298,7 @@
 		d.snapshotAt = time.Time{} // to be returned; the next drain waits for it
 	}
 	d.log.Debug("attempt over", "job", j.spec.ID, "task", a.task, "try", a.try, "machine", m.id, "why", why)
+	d.activation.gone(a, time.Now())
 	d.retire(j)
 	d.place = true
 }
--- a/internal/coordination/settings.go
+++ b/internal/coordination/settings.go
@@ -69,6 +69,7 @@
 	Upgrade            upgrade.Settings
 	Archive            ArchiveTuning
 	Fencing            FencingTuning
+	Activation         ActivationTuning
 }
 
 // growBound is the most machines that one step may rent: the operators' figure,
@@ -119,6 +120,7 @@
 		Upgrade:            s.defaultUpgrade(),
 		Archive:            s.defaultArchive(),
 		Fencing:            FencingTuning{Window: fencingWindow},
+		Activation:         s.defaultActivation(),
 	}
 }
 
--- a/internal/coordination/simulation_test.go
+++ b/internal/coordination/simulation_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"sagevale/internal/activation"
 	"sagevale/internal/storage"
 	"sagevale/internal/storage/storagetest"
 )
@@ -20,30 +21,34 @@
 // simulation is a small deployment in memory and simulated time: nodes, a state
 // service, a cloud, workers and the cuts between them. It watches the rules.
 type simulation struct {
-	t        *testing.T
-	settings Settings
-	state    *storagetest.Service
-	cloud    *fakeCloud
-	nodes    []*fakeNode
-	mu       sync.Mutex // guards what follows, and all workers and the cloud
-	workers  map[int]*fakeWorker
-	specs    map[string]storage.Spec
-	cancelAt map[string]time.Time // when a user was told so
-	answered map[string]JobState  // the latest that a user was told, running as pending
-	askedOff map[string]bool      // jobs that a user asked to cancel
-	ran      map[TaskID]bool      // tasks that have completed
-	kept     []*Report            // copies of reports, to come again late
-	keeping  bool
-	copying  bool            // copies of direct orders are kept, to be repeated late
-	together map[string]int  // how often a gang has begun
-	overrun  map[string]bool // cancelled jobs seen beyond their time
-	mistaken map[string]bool // jobs that fail wherever they run
-	starts   int
-	apart    atomic.Pointer[string] // a zone that is cut off from everything
-	over     atomic.Bool            // machines that boot now stay away
-	dropped  atomic.Bool            // a leader has been killed with what it sent
-	log      *slog.Logger
-	slow     atomic.Int64 // up to how long each log record holds up its node, in ns
+	t         *testing.T
+	settings  Settings
+	state     *storagetest.Service
+	cloud     *fakeCloud
+	nodes     []*fakeNode
+	mu        sync.Mutex // guards what follows, and all workers and the cloud
+	workers   map[int]*fakeWorker
+	specs     map[string]storage.Spec
+	cancelAt  map[string]time.Time // when a user was told so
+	answered  map[string]JobState  // the latest that a user was told, running as pending
+	askedOff  map[string]bool      // jobs that a user asked to cancel
+	ran       map[TaskID]bool      // tasks that have completed
+	kept      []*Report            // copies of reports, to come again late
+	keeping   bool
+	copying   bool            // copies of direct orders are kept, to be repeated late
+	together  map[string]int  // how often a gang has begun
+	overrun   map[string]bool // cancelled jobs seen beyond their time
+	mistaken  map[string]bool // jobs that fail wherever they run
+	starts    int
+	launches  map[string][]launch      // starts that a worker took on, by job
+	wakes     []activation.WakeRequest // that nodes sent each other, to come again late
+	failing   map[string]time.Duration // jobs whose tasks fail after so long on any machine
+	apart     atomic.Pointer[string]   // a zone that is cut off from everything
+	over      atomic.Bool              // machines that boot now stay away
+	dropped   atomic.Bool              // a leader has been killed with what it sent
+	processes sync.Mutex               // of nodes that several troubles begin and end
+	log       *slog.Logger
+	slow      atomic.Int64 // up to how long each log record holds up its node, in ns
 }
 
 // slowProcessor holds up whoever logs: what comes between a check and its effect on a
@@ -100,6 +105,7 @@
 			},
 			workers: make(map[int]*fakeWorker), specs: make(map[string]storage.Spec), cancelAt: make(map[string]time.Time),
 			answered: make(map[string]JobState), askedOff: make(map[string]bool), ran: make(map[TaskID]bool), overrun: make(map[string]bool), mistaken: make(map[string]bool), together: make(map[string]int),
+			launches: make(map[string][]launch), failing: make(map[string]time.Duration),
 		}
 		sim.log = slog.New(&slowProcessor{Handler: slog.NewTextHandler(io.Discard, nil), sim: sim, rand: rand.New(rand.NewPCG(3, 5))})
 		change(&sim.settings)
@@ -134,10 +140,11 @@
 func (sim *simulation) leader() *fakeNode {
 	var lead *fakeNode
 	for _, n := range sim.nodes {
-		if n.end == nil {
+		live := n.live.Load()
+		if live == nil {
 			continue
 		}
-		if v := n.node.view.Load(); v.dispatcher != nil && time.Now().Before(v.role.Certain) {
+		if v := live.view.Load(); v.dispatcher != nil && time.Now().Before(v.role.Certain) {
 			if lead != nil {
 				sim.t.Fatal("two nodes lead for certain")
 			}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -117,6 +117,10 @@
 			d.awaitGate(m, upgrade.GangJobs, now)
 			return
 		}
+		if d.activation.applies(&spec) && d.gates.Gate(upgrade.Activation).Phase == upgrade.GateOpen && !d.mayUse(upgrade.Activation) {
+			d.awaitGate(m, upgrade.Activation, now)
+			return
+		}
 		if d.jobs.openTasks+spec.Tasks > d.settings.maxTasks() {
 			m.reply <- Answer{Code: CodeBusy, ID: spec.ID, Reason: "too many tasks are waiting", RetryS: int(d.settings.Lease.Seconds())}
 			return
@@ -127,6 +131,9 @@
 		}
 		j = newJob(spec, now)
 		d.jobs.insert(j)
+		if d.activation.applies(&spec) && d.mayUse(upgrade.Activation) {
+			d.activation.begin(j, now)
+		}
 		d.arrival(j)
 		d.markJob(j)
 		d.onJobCommit(j, func(error) {
@@ -213,6 +220,7 @@
 		j.phase = storage.Cancelled
 		d.jobs.cancel(j)
 		d.leave(j, now)
+		d.activation.end(j)
 		d.log.Debug("cancel", "job", j.spec.ID, "attempts", len(j.attempts))
 		d.markJob(j)
 		d.onJobCommit(j, func(err error) {
--- /dev/null
+++ b/internal/coordination/wake.go
@@ -0,0 +1,200 @@
+package coordination
+
+import (
+	"context"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sagevale/internal/activation"
+	"sagevale/internal/storage"
+)
+
+// wakeMsg tells the dispatcher of demand for a model at some node.
+type wakeMsg struct {
+	req   activation.WakeRequest
+	reply chan activation.WakeResponse
+}
+
+// undecided is the answer of whoever can't tell where a model stands.
+func undecided(reason string) activation.WakeResponse {
+	return activation.WakeResponse{Verdict: activation.Undecided, Reason: reason}
+}
+
+// Wake tells the leader of demand for a model, and returns where the model stands.
+func (n *Node) Wake(ctx context.Context, req activation.WakeRequest) activation.WakeResponse {
+	v := n.view.Load()
+	if v.dispatcher != nil {
+		return v.dispatcher.wake(ctx, req)
+	}
+	leader, _ := n.leader(v)
+	if leader == "" || leader == n.settings.Node {
+		return undecided("no leader yet")
+	}
+	// Earlier versions would take the message for something else.
+	if status, ok := n.deps.Peers.Status(leader); !ok || status.Version < firstWithActivation {
+		return undecided("the leader isn't known to take demand")
+	}
+	asked := time.Now()
+	response, err := n.deps.Peers.Wake(ctx, leader, req)
+	if err != nil {
+		return undecided("leader out of reach")
+	}
+	if response.Verdict != activation.Undecided && time.Since(asked) > response.Holds {
+		return undecided("the leader's answer came late")
+	}
+	return response
+}
+
+// LocalWake answers a wake request that another node sent.
+func (n *Node) LocalWake(ctx context.Context, req activation.WakeRequest) activation.WakeResponse {
+	if v := n.view.Load(); v.dispatcher != nil {
+		return v.dispatcher.wake(ctx, req)
+	}
+	return undecided("not the leader")
+}
+
+// wake asks the dispatcher on behalf of a node. A full mailbox is answered at once.
+func (d *dispatcher) wake(ctx context.Context, req activation.WakeRequest) activation.WakeResponse {
+	reply := make(chan activation.WakeResponse, 1)
+	asked := time.Now()
+	select {
+	case d.mailbox <- wakeMsg{req, reply}:
+	case <-d.closed:
+		return undecided("leader is stepping down")
+	default:
+		return undecided("too much asked at once")
+	}
+	select {
+	case response := <-reply:
+		return d.withinLead(response, asked)
+	case <-d.closed:
+		return undecided("leader is stepping down")
+	case <-ctx.Done():
+		return undecided("not decided in time")
+	}
+}
+
+// withinLead bounds for how long an answer may be gone by: until the lead may have ended. This process
+// may have stood still since it was given.
+func (d *dispatcher) withinLead(response activation.WakeResponse, asked time.Time) activation.WakeResponse {
+	if response.Verdict == activation.Undecided {
+		return response
+	}
+	certain := d.certainTill.Load()
+	if certain == nil || !time.Now().Before(*certain) {
+		return undecided("leadership not certain")
+	}
+	response.Holds = min(response.Holds, scale(certain.Sub(asked), 1/driftBound))
+	return response
+}
+
+// handleWake takes in demand for a model, and answers once what it moved is durable.
+func (d *dispatcher) handleWake(m wakeMsg) {
+	now := time.Now()
+	j := d.jobs.get(m.req.Model)
+	switch {
+	case !d.certain(now):
+		m.reply <- undecided("leadership not certain")
+	case j == nil:
+		m.reply <- activation.WakeResponse{Verdict: activation.Unknown, Reason: "no such service", Holds: d.settings.WakeInterval()}
+	case !j.known:
+		m.reply <- undecided("acceptance not yet recorded")
+	case j.phase != storage.Open || !j.spec.Service:
+		m.reply <- activation.WakeResponse{Verdict: activation.Unknown, Reason: "no service that is open", Holds: d.settings.WakeInterval()}
+	case d.stalled(now):
+		m.reply <- undecided("state service slow or out of reach")
+	default:
+		d.activation.demand(j, m, now)
+	}
+}
+
+// demand moves a service by a wake request, and answers it.
+func (c *activationController) demand(j *job, m wakeMsg, now time.Time) {
+	s := j.managed
+	if s == nil {
+		m.reply <- c.alwaysUp(j)
+		return
+	}
+	generation := s.record.Generation
+	c.apply(s, activation.Demand{Generation: m.req.Generation}, now)
+	if s.record.Generation != generation {
+		s.wokenAt = now
+	}
+	if s.unwritten == 0 {
+		m.reply <- c.response(s, now)
+		return
+	}
+	c.host.afterJobCommit(j, func(err error) {
+		if err != nil || j.managed != s {
+			m.reply <- undecided("not recorded")
+			return
+		}
+		m.reply <- c.response(s, time.Now())
+	})
+}
+
+// alwaysUp tells of a service that runs without regard to demand.
+func (c *activationController) alwaysUp(j *job) activation.WakeResponse {
+	response := activation.WakeResponse{Verdict: activation.Known, State: activation.Starting, Holds: c.settings.WakeInterval(), Reason: "runs always"}
+	for _, a := range j.attempts {
+		if a.answers() {
+			response.State, response.Machine, response.Holds = activation.Ready, a.on.addr, c.settings.RoutingLease()
+		}
+	}
+	return response
+}
+
+// answers tells whether an attempt runs and isn't to be stopped.
+func (a *attempt) answers() bool { return a.seen && a.state == Running && !a.stop }
+
+// response tells where a service stands.
+func (c *activationController) response(s *managedService, now time.Time) activation.WakeResponse {
+	if s.damaged != nil {
+		return activation.WakeResponse{Verdict: activation.Damaged, Reason: "its record is damaged", Holds: c.settings.WakeInterval()}
+	}
+	response := activation.WakeResponse{
+		Verdict: activation.Known, State: s.record.State, Generation: s.record.Generation, Holds: c.settings.WakeInterval(),
+	}
+	switch s.record.State {
+	case activation.Ready:
+		if a := s.replica(); a != nil && a.answers() {
+			response.Machine, response.Holds = a.on.addr, c.settings.RoutingLease()
+		}
+	case activation.Starting:
+		response.Expected = c.expectedStart(s, now)
+	case activation.Failed:
+		response.Expected = s.record.Rests(now)
+	case activation.Idle, activation.Draining, activation.Stopping:
+	}
+	return response
+}
+
+const (
+	// longestStart and startDigits are the range and the precision of the starts measured.
+	longestStart = time.Hour
+	startDigits  = 2
+	// expectedPercentile of the starts measured is what users are told to wait for.
+	expectedPercentile = 90
+)
+
+// noteStart takes in how long a wake took until its model answered.
+func (c *activationController) noteStart(class string, took time.Duration) {
+	h := c.starts[class]
+	if h == nil {
+		h = hdrhistogram.New(1, longestStart.Milliseconds(), startDigits)
+		c.starts[class] = h
+	}
+	// Values beyond the range are told by its end.
+	_ = h.RecordValue(min(took, longestStart).Milliseconds())
+}
+
+// expectedStart is how long a start may still take, by those measured in this term; 0: none was.
+func (c *activationController) expectedStart(s *managedService, now time.Time) time.Duration {
+	h := c.starts[s.job.spec.Class]
+	if h == nil || s.wokenAt.IsZero() {
+		return 0
+	}
+	whole := time.Duration(h.ValueAtPercentile(expectedPercentile)) * time.Millisecond
+	return max(0, whole-now.Sub(s.wokenAt))
+}
--- a/internal/protocol/upgrade_properties_test.go
+++ b/internal/protocol/upgrade_properties_test.go
@@ -31,7 +31,7 @@
 		{"upgrade.target = 2\n", target, ""},
 		{"upgrade.finalize = auto\nupgrade.soak = 15m\n", finalizing, ""},
 		{"upgrade.test.cap = 1\n", good.CappedAt(upgrade.Version1), ""},
-		{"upgrade.target = 9\n", good, `p: upgrade.target: "9" is no version that this program knows: 1 to 5`},
+		{"upgrade.target = 9\n", good, `p: upgrade.target: "9" is no version that this program knows: 1 to 6`},
 		{"upgrade.target = 0\n", good, "p: upgrade.target: "},
 		{"upgrade.target = newest\n", good, "p: upgrade.target: "},
 		{"upgrade.test.cap = 1\nupgrade.target = 2\n", good, "p: upgrade.target: version 2 is unknown here"},
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -93,6 +93,8 @@
 	AtMS   int64 `json:"a,omitempty"`
 	Spec   *Spec `json:"s,omitempty"`
 	DoneOf int   `json:"d,omitempty"`
+	// Activation is the lifecycle of an open service that may be at zero, behind a gate.
+	Activation json.RawMessage `json:"w,omitempty"`
 }
 
 // PageTasks is how many tasks of a job share one page record. A full page
--- a/internal/transport/freeze_test.go
+++ b/internal/transport/freeze_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"sagevale/internal/activation"
 	"sagevale/internal/coordination"
 	"sagevale/internal/storage"
 )
@@ -39,13 +40,19 @@
 			Tasks: []coordination.TaskReport{{ID: coordination.TaskID{Job: "000001", Task: 1}, Try: 5, State: coordination.Ended, Cause: coordination.CausePeers, Saved: true}}}}})
 	write("answers.gob", answersTelling(toldBy769a0b2)...)
 	write("answers-registering.gob", answersTelling(toldByRegistering)...)
-	write("answers-token-ranges.gob", answersTelling(coordination.PeerVersion)...)
+	write("answers-token-ranges.gob", answersTelling(toldByTokenRanges)...)
+	write("answers-activation.gob", answersTelling(coordination.PeerVersion)...)
+	write("wakes.gob",
+		wakeAsk{Serial: 4, Wake: &activation.WakeRequest{Model: "000007", Generation: 3}},
+		wakeAnswer{Serial: 4, Wake: &activation.WakeResponse{Verdict: activation.Known, State: activation.Ready, Generation: 4, Machine: "10.0.0.7:9000",
+			Expected: time.Second, Holds: 3 * time.Second, Reason: "runs always"}})
 }
 
 // What earlier versions tell as their own; this one tells another number, in the same message.
 const (
 	toldBy769a0b2     = 2
 	toldByRegistering = 3
+	toldByTokenRanges = 4
 )
 
 // answersTelling are a node's answers to each kind of message.
--- a/internal/transport/peer_link.go
+++ b/internal/transport/peer_link.go
@@ -9,16 +9,32 @@
 	"sync/atomic"
 	"time"
 
+	"sagevale/internal/activation"
 	"sagevale/internal/coordination"
 )
 
 type call struct {
 	ask   peerAsk
+	wake  *activation.WakeRequest // if not nil, what is asked
 	reply chan result
 }
 
+// message is what is sent for a call.
+func (c *call) message(serial uint64) any {
+	if c.wake != nil {
+		return wakeAsk{serial, c.wake}
+	}
+	c.ask.Serial = serial
+	return c.ask
+}
+
+// isPing tells whether a call asks for the peer's status.
+func (c *call) isPing() bool {
+	return c.wake == nil && c.ask.Reports == nil && c.ask.Req.Op == coordination.OpPing
+}
+
 type result struct {
-	answer peerAnswer
+	answer receivedAnswer
 	err    error
 }
 
@@ -67,10 +83,10 @@
 			l.send(ctx, c)
 		case e := <-l.events:
 			switch e := e.(type) {
-			case peerAnswer:
+			case receivedAnswer:
 				l.lastHeard.Store(time.Now())
 				if p, ok := l.pending[e.Serial]; ok {
-					if p.ask.Req.Op == coordination.OpPing && p.ask.Reports == nil {
+					if p.isPing() {
 						l.status.Store(coordination.PeerReport{PeerStatus: e.Answer.Peer.Status(), Sent: p.at, Got: time.Now()})
 					}
 					delete(l.pending, e.Serial)
@@ -114,15 +130,14 @@
 	}
 	l.serial++
 	l.pending[l.serial] = pendingCall{c, time.Now()}
-	c.ask.Serial = l.serial
 	err := l.conn.SetWriteDeadline(time.Now().Add(peerTimeout + l.window))
 	if err == nil {
-		err = l.enc.Encode(c.ask)
+		err = l.enc.Encode(c.message(l.serial))
 	}
 	switch {
 	case err != nil:
 		l.drop(err)
-	case !c.ask.mayWait():
+	case !c.mayWait():
 		l.flush()
 	case l.flushDue == nil:
 		l.flushDue = time.After(l.window)
@@ -137,7 +152,9 @@
 
 // mayWait tells whether a request may be gathered with others: polls are many and not
 // urgent, and each message by itself would wake the peer.
-func (a *peerAsk) mayWait() bool { return a.Reports == nil && a.Req.Op == coordination.OpPoll }
+func (c *call) mayWait() bool {
+	return c.wake == nil && c.ask.Reports == nil && c.ask.Req.Op == coordination.OpPoll
+}
 
 // flush sends what has gathered.
 func (l *link) flush() {
@@ -153,7 +170,7 @@
 func read(ctx context.Context, conn net.Conn, events chan<- any) {
 	dec := gob.NewDecoder(conn)
 	for {
-		var a peerAnswer
+		var a receivedAnswer
 		if err := dec.Decode(&a); err != nil {
 			select {
 			case events <- brokenMsg{conn, err}:
--- a/internal/transport/peer_server.go
+++ b/internal/transport/peer_server.go
@@ -8,6 +8,7 @@
 	"net"
 	"time"
 
+	"sagevale/internal/activation"
 	"sagevale/internal/coordination"
 	"sagevale/internal/storage"
 )
@@ -16,6 +17,19 @@
 type Local interface {
 	Local(ctx context.Context, req coordination.UserRequest) coordination.Answer
 	LocalHeartbeats(ctx context.Context, reports []*coordination.Report) []coordination.HeartbeatResponse
+	LocalWake(ctx context.Context, req activation.WakeRequest) activation.WakeResponse
+}
+
+// answerOf has a message answered.
+func answerOf(ctx context.Context, ask *receivedAsk, local Local) any {
+	switch {
+	case ask.Wake != nil:
+		response := local.LocalWake(ctx, *ask.Wake)
+		return wakeAnswer{ask.Serial, &response}
+	case ask.Reports != nil:
+		return peerAnswer{Serial: ask.Serial, Beats: coordination.WireResponses(local.LocalHeartbeats(ctx, ask.Reports))}
+	}
+	return peerAnswer{Serial: ask.Serial, Answer: local.Local(ctx, ask.Req)}
 }
 
 // ServePeers answers the other nodes' requests on l until ctx ends.
@@ -43,7 +57,7 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	answers := make(chan peerAnswer, answerQueue)
+	answers := make(chan any, answerQueue)
 	go func() {
 		defer cancel()
 		out := bufio.NewWriter(conn)
@@ -70,7 +84,7 @@
 	}()
 	dec := gob.NewDecoder(conn)
 	for {
-		var ask peerAsk
+		var ask receivedAsk
 		if err := dec.Decode(&ask); err != nil {
 			log.Debug("peer has gone", "err", err)
 			return
@@ -78,14 +92,8 @@
 		go func() {
 			actx, done := context.WithTimeout(ctx, peerTimeout)
 			defer done()
-			a := peerAnswer{Serial: ask.Serial}
-			if ask.Reports != nil {
-				a.Beats = coordination.WireResponses(local.LocalHeartbeats(actx, ask.Reports))
-			} else {
-				a.Answer = local.Local(actx, ask.Req)
-			}
 			select {
-			case answers <- a:
+			case answers <- answerOf(actx, &ask, local):
 			case <-ctx.Done():
 			}
 		}()
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -7,22 +7,56 @@
 	"log/slog"
 	"time"
 
+	"sagevale/internal/activation"
 	"sagevale/internal/coordination"
 )
 
-// peerAsk and peerAnswer are the gob messages between nodes.
+// The gob messages between nodes. gob sends the fields of a type before the first message of it, so
+// what is new is sent as a type of its own: the bytes of the others stay as they were. Whoever reads
+// takes all of them as one type.
+
+// peerAsk asks for a user's answer, or for those to reports.
 type peerAsk struct {
 	Serial  uint64
 	Req     coordination.UserRequest
 	Reports []*coordination.Report // if there are any, they are what is asked about
 }
 
+// peerAnswer answers a peerAsk.
 type peerAnswer struct {
 	Serial uint64
 	Answer coordination.Answer
 	Beats  []coordination.BeatAnswer
 }
 
+// wakeAsk tells of demand for a model. Only peers that say that they take it are sent it.
+type wakeAsk struct {
+	Serial uint64
+	Wake   *activation.WakeRequest
+}
+
+// wakeAnswer answers a wakeAsk.
+type wakeAnswer struct {
+	Serial uint64
+	Wake   *activation.WakeResponse
+}
+
+// receivedAsk is any message that asks.
+type receivedAsk struct {
+	Serial  uint64
+	Req     coordination.UserRequest
+	Reports []*coordination.Report
+	Wake    *activation.WakeRequest
+}
+
+// receivedAnswer is any message that answers.
+type receivedAnswer struct {
+	Serial uint64
+	Answer coordination.Answer
+	Beats  []coordination.BeatAnswer
+	Wake   *activation.WakeResponse
+}
+
 const (
 	// peerTimeout is how long another node may take to answer.
 	peerTimeout = time.Second
@@ -97,42 +131,54 @@
 
 // Forward asks the named node.
 func (p *Peers) Forward(ctx context.Context, node string, req coordination.UserRequest) (coordination.Answer, error) {
-	a, err := p.ask(ctx, node, peerAsk{Req: req})
+	a, err := p.ask(ctx, node, call{ask: peerAsk{Req: req}})
 	return a.Answer, err
 }
 
 // Heartbeats hands reports to the named node.
 func (p *Peers) Heartbeats(ctx context.Context, node string, reports []*coordination.Report) ([]coordination.HeartbeatResponse, error) {
-	a, err := p.ask(ctx, node, peerAsk{Reports: reports})
+	a, err := p.ask(ctx, node, call{ask: peerAsk{Reports: reports}})
 	if err == nil && len(a.Beats) != len(reports) {
 		err = fmt.Errorf("%w: it decides on no reports", errPeer)
 	}
 	return coordination.ResponsesFromWire(a.Beats), err
 }
 
-func (p *Peers) ask(ctx context.Context, node string, ask peerAsk) (peerAnswer, error) {
+// Wake tells the named node of demand for a model.
+func (p *Peers) Wake(ctx context.Context, node string, req activation.WakeRequest) (activation.WakeResponse, error) {
+	a, err := p.ask(ctx, node, call{wake: &req})
+	if err == nil && a.Wake == nil {
+		err = fmt.Errorf("%w: it takes no demand", errPeer)
+	}
+	if err != nil {
+		return activation.WakeResponse{}, err
+	}
+	return *a.Wake, nil
+}
+
+func (p *Peers) ask(ctx context.Context, node string, c call) (receivedAnswer, error) {
 	l := p.links[node]
 	if l == nil {
-		return peerAnswer{}, fmt.Errorf("%w: unknown node %q", errPeer, node)
+		return receivedAnswer{}, fmt.Errorf("%w: unknown node %q", errPeer, node)
 	}
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	c := call{ask: ask, reply: make(chan result, 1)}
+	c.reply = make(chan result, 1)
 	select {
 	case l.calls <- c:
 	default:
-		return peerAnswer{}, fmt.Errorf("%w: too many requests wait for it", errPeer)
+		return receivedAnswer{}, fmt.Errorf("%w: too many requests wait for it", errPeer)
 	}
 	select {
 	case r := <-c.reply:
 		if r.err == nil && time.Since(began) > peerTimeout {
 			// This process stood still: what was true then may not be now.
-			return peerAnswer{}, fmt.Errorf("%w: answered too late", errPeer)
+			return receivedAnswer{}, fmt.Errorf("%w: answered too late", errPeer)
 		}
 		return r.answer, r.err
 	case <-ctx.Done():
-		return peerAnswer{}, fmt.Errorf("%w: no answer", errPeer)
+		return receivedAnswer{}, fmt.Errorf("%w: no answer", errPeer)
 	}
 }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"sagevale/internal/activation"
 	"sagevale/internal/coordination"
 )
 
@@ -137,6 +138,10 @@
 	return coordination.Answer{Code: coordination.CodeOK, ID: req.ID, Peer: coordination.PeerState{Leader: req.ID}}
 }
 
+func (fakeLocal) LocalWake(_ context.Context, req activation.WakeRequest) activation.WakeResponse {
+	return activation.WakeResponse{Verdict: activation.Known, State: activation.Ready, Generation: req.Generation, Machine: req.Model}
+}
+
 func (fakeLocal) LocalHeartbeats(_ context.Context, reports []*coordination.Report) []coordination.HeartbeatResponse {
 	var out []coordination.HeartbeatResponse
 	for _, r := range reports {
--- a/internal/transport/versions_test.go
+++ b/internal/transport/versions_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"errors"
 	"os"
 	"path/filepath"
 	"testing"
 	"time"
 
+	"sagevale/internal/activation"
 	"sagevale/internal/coordination"
 	"sagevale/internal/storage"
 )
@@ -16,7 +18,7 @@
 // what nodes of one of them really sent each other.
 
 func TestEarlierVersionsMessagesAreRead(t *testing.T) {
-	for version, number := range map[string]int{"production": 0, "769a0b2": 2, "registering": 3, "token-ranges": coordination.PeerVersion} {
+	for version, number := range map[string]int{"production": 0, "769a0b2": 2, "registering": 3, "token-ranges": 4, "activation": coordination.PeerVersion} {
 		t.Run(version, func(t *testing.T) { readsMessages(t, version, number) })
 	}
 }
@@ -56,6 +58,24 @@
 	}
 }
 
+// Demand is read as the first version that sends it encoded it, beside messages of the other kind.
+func TestWakesAreRead(t *testing.T) {
+	wakes := open(t, "activation", "wakes.gob")
+	var ask receivedAsk
+	var answer receivedAnswer
+	if err := errors.Join(wakes.Decode(&ask), wakes.Decode(&answer)); err != nil {
+		t.Fatal(err)
+	}
+	if ask.Serial != 4 || *ask.Wake != (activation.WakeRequest{Model: "000007", Generation: 3}) {
+		t.Errorf("ask %+v", ask.Wake)
+	}
+	want := activation.WakeResponse{Verdict: activation.Known, State: activation.Ready, Generation: 4, Machine: "10.0.0.7:9000",
+		Expected: time.Second, Holds: 3 * time.Second, Reason: "runs always"}
+	if answer.Serial != 4 || *answer.Wake != want {
+		t.Errorf("answer %+v", answer.Wake)
+	}
+}
+
 func open(t *testing.T, version, name string) *gob.Decoder {
 	t.Helper()
 	raw, err := os.ReadFile(filepath.Join("testdata", version, name))
--- a/internal/upgrade/version.go
+++ b/internal/upgrade/version.go
@@ -27,11 +27,13 @@
 	Version4 Version = 4
 	// Version5 adds workers' tokens that are raised within a term.
 	Version5 Version = 5
+	// Version6 adds services that may be at zero.
+	Version6 Version = 6
 
 	// Baseline is active where no cluster record exists.
 	Baseline = Version1
 	// Current is this program's version.
-	Current = Version5
+	Current = Version6
 )
 
 // Range is the versions that a controller reads and writes.
@@ -68,6 +70,9 @@
 	// WorkerTokens: a worker's token may be raised within a term. Controllers that don't know
 	// the range of tokens of a term don't renew the leases of such workers alone.
 	WorkerTokens GateName = "worker-tokens"
+	// Activation: services may be at zero. Whoever doesn't know their lifecycles would start them
+	// without any demand.
+	Activation GateName = "activation"
 	// FencedTerm: the term record may be written in a form that keeps processes
 	// that don't register from taking the lead. It is open only while every
 	// controller registers.
@@ -92,6 +97,7 @@
 	{Name: GangJobs, Since: Version2},
 	{Name: JobArchive, Since: Version4, DependsOn: []GateName{FencedTerm}},
 	{Name: WorkerTokens, Since: Version5},
+	{Name: Activation, Since: Version6, DependsOn: []GateName{FencedTerm}},
 }
 
 // find returns a gate by its name.
