Back to zero after the idle window over all controllers; requests held while a model starts

Cause: a woken service held its machine for good, and a request for one that starts could only come again.

Change: controllers tell the leader every report interval which models they have requests for, in flight or held, by a message of its own with a session and a serial number. After the idle window over all of them the model drains: each controller acknowledges this very drain, or is silent and the answers it went by have run out (a lease of one report interval); then the stop is durable, and the place proved empty. Missing reports keep it up. Demand in the drain revives it, or begins the next generation. The tracker holds requests in bounded number with dynamic thresholds among models, and passes on a bounded number at a time; the leader puts answers off while a model starts, so that no polling is needed.

Found by the tests: a controller that had forgotten a model forgot the drain it was told of as well; a new leader sent stops before its actors ran (a data race). The simulation's processes all had the same session.

--- a/internal/activation/message.go
+++ b/internal/activation/message.go
@@ -9,6 +9,8 @@
 	// Generation is the latest that the sender knows: only demand that names the present one
 	// begins the next.
 	Generation uint64
+	// Wait is how long the answer may be put off while the model starts.
+	Wait time.Duration
 }
 
 // Verdict tells what a leader can say of a model.
@@ -44,3 +46,36 @@
 func (r *WakeResponse) Asleep() bool {
 	return r.Verdict == Known && (r.State == Idle || r.State == Failed && r.Expected <= 0)
 }
+
+// UsageReport is what a controller tells the leader of the models that requests have come for. Other
+// versions read it: fields are only added.
+type UsageReport struct {
+	Node    string
+	Session string        // of the process, unlike any other's
+	Serial  uint64        // grows with each report of the session
+	Uptime  time.Duration // of the process: requests to an earlier one ended with it
+	Models  []ModelUsage  // those with requests within the idle window, or in a drain
+}
+
+// ModelUsage is a controller's use of a model.
+type ModelUsage struct {
+	Model    string
+	InFlight int           // requests passed on, or held, that have no answer yet
+	QuietFor time.Duration // since the last request came or was answered
+	// Drained is the latest drain after which the controller passes nothing on by an earlier answer; what
+	// it had passed on before is in InFlight. 0: none.
+	Drained uint64
+}
+
+// UsageResponse tells a controller which models drain. Other versions read it: fields are only added.
+type UsageResponse struct {
+	Verdict  Verdict // Known, or Undecided
+	Draining []DrainOrder
+	Reason   string // for people
+}
+
+// DrainOrder has a controller pass no more requests on by earlier answers.
+type DrainOrder struct {
+	Model string
+	Drain uint64
+}
--- a/internal/activator/tracker.go
+++ b/internal/activator/tracker.go
@@ -1,5 +1,5 @@
 // Package activator takes requests for models at each controller: it tells the leader of demand for
-// models that don't answer, and passes requests on to those that do.
+// models that don't answer, holds requests while a model starts, and passes them on once it answers.
 package activator
 
 import (
@@ -10,160 +10,231 @@
 	"sagevale/internal/activation"
 )
 
-// Waker is the scheduler's side: it tells the leader of demand.
-type Waker interface {
+// Scheduler is the leader, as a controller reaches it.
+type Scheduler interface {
+	// Wake tells of demand for a model.
 	Wake(ctx context.Context, req activation.WakeRequest) activation.WakeResponse
+	// ReportUsage tells how models are used here.
+	ReportUsage(ctx context.Context, report activation.UsageReport) activation.UsageResponse
 }
 
-// Pace is how a tracker spares the leader. All of it follows from the workers' report interval.
+// Pace is how often a tracker speaks to the leader.
 type Pace struct {
-	Retry    time.Duration // pause after the first wake request that wasn't decided; doubled after each, and jittered
-	Timeout  time.Duration // the longest that one wake request may take
-	Remember time.Duration // how long demand is repeated that nobody has decided on
+	Retry    time.Duration // pause after the first message that wasn't decided; doubled after each, and jittered
+	Timeout  time.Duration // the longest that one message may take
+	Wait     time.Duration // how long the leader may put an answer off while requests are held
+	Usage    time.Duration // how often usage is reported; 0: never
+	Repeat   time.Duration // how long demand is repeated that nobody has decided on
+	Remember time.Duration // how long a model that nobody uses is told of; longer than the idle window
+}
+
+// Limits bound what a tracker holds.
+type Limits struct {
+	Hold       time.Duration // the longest that a request is held; 0: none is
+	Held       int           // requests held at a time, of all models
+	Concurrent int           // requests that are passed on to one model at a time
 }
 
 const (
-	// longestRetryShift doubles the pause between two wake requests to the longest.
+	// longestRetryShift doubles the pause between two messages to the longest.
 	longestRetryShift = 4
-	// mailboxLength is how many requests may wait for the tracker; more wait before it.
+	// mailboxLength is how many messages may wait for the tracker; more wait before it.
 	mailboxLength = 256
-	// askedTwice: the first answer for a model tells its generation, the second wakes it.
-	askedTwice = 2
 )
 
-// Tracker knows where models stand, as of the leader's latest answers. It is an actor: Run owns its
-// state. However many requests wait for a model, one wake request is on its way for it.
+// Tracker knows where models stand, as of the leader's latest answers, and holds requests for those
+// that start. It is an actor: Run owns its state. However many requests wait for a model, one wake
+// request is on its way for it.
 type Tracker struct {
-	waker   Waker
-	pace    Pace
-	rand    *rand.Rand
-	lookups chan lookup
-	answers chan answer
-	models  map[string]*model
+	scheduler Scheduler
+	pace      Pace
+	limits    Limits
+	rand      *rand.Rand
+	mailbox   chan any
+	done      chan struct{} // closed once Run has ended
+	began     time.Time
+	models    map[string]*model
+	held      int    // requests held, of all models
+	reports   uint64 // of usage
+	reporting bool
 }
 
-// lookup asks where a model stands.
-type lookup struct {
-	model string
-	reply chan activation.WakeResponse
-}
+// Messages to the tracker.
+type (
+	// request asks for a model.
+	request struct {
+		model    string
+		came     time.Time
+		deadline time.Time // until when it may be held
+		reply    chan Decision
+		held     bool
+		over     bool // its client has gone, or it is answered
+	}
+	departedMsg struct{ request *request }
+	releasedMsg struct{ model string }
+	// wokenMsg is what a wake request came to.
+	wokenMsg struct {
+		model    string
+		sent     time.Time
+		req      activation.WakeRequest
+		response activation.WakeResponse
+	}
+	usageMsg struct{ response activation.UsageResponse }
+)
 
-// answer is what a wake request came to.
-type answer struct {
-	model    string
-	sent     time.Time
-	asked    uint64 // the generation that it named
-	response activation.WakeResponse
-}
+// Outcome is what becomes of a request.
+type Outcome int
 
-// model is what a tracker knows of a model.
-type model struct {
-	known    activation.WakeResponse
-	until    time.Time // known may be gone by until then
-	asking   bool
-	inARow   int // wake requests since the first lookup that waits
-	failures int // wake requests in a row that weren't decided
-	retryAt  time.Time
-	wanted   time.Time // there was demand that isn't decided on; it is repeated until then
-	waiting  []chan activation.WakeResponse
+// The outcomes.
+const (
+	Refused  Outcome = iota // it is to come again after RetryAfter
+	Granted                 // it may be passed on, once; Release is to be called after it
+	Unknown                 // there is no such model
+	TimedOut                // it was held until its deadline
+)
+
+// Decision tells what becomes of a request.
+type Decision struct {
+	Outcome    Outcome
+	Response   activation.WakeResponse // the leader's, that it rests on
+	RetryAfter time.Duration           // 0: not known
+	Reason     string
 }
 
 // NewTracker makes a tracker; Run starts it.
-func NewTracker(waker Waker, pace Pace, random *rand.Rand) *Tracker {
+func NewTracker(scheduler Scheduler, pace Pace, limits Limits, random *rand.Rand) *Tracker {
 	return &Tracker{
-		waker: waker, pace: pace, rand: random,
-		lookups: make(chan lookup, mailboxLength), answers: make(chan answer, mailboxLength), models: make(map[string]*model),
+		scheduler: scheduler, pace: pace, limits: limits, rand: random, began: time.Now(),
+		mailbox: make(chan any, mailboxLength), done: make(chan struct{}), models: make(map[string]*model),
 	}
 }
 
-// Lookup returns where a model stands, and tells the leader of demand for it if it doesn't answer. It
-// waits for the leader's word, but not for the model.
-func (t *Tracker) Lookup(ctx context.Context, name string) activation.WakeResponse {
-	reply := make(chan activation.WakeResponse, 1)
+// Acquire decides on a request for a model: the leader is told of the demand if the model doesn't
+// answer, and the request may be held meanwhile. One that is granted counts as in flight until Release.
+func (t *Tracker) Acquire(ctx context.Context, name string) Decision {
+	now := time.Now()
+	r := &request{model: name, came: now, deadline: now.Add(t.limits.Hold), reply: make(chan Decision, 1)}
+	if !t.post(ctx, r) {
+		return Decision{Reason: "too much is asked at once"}
+	}
 	select {
-	case t.lookups <- lookup{name, reply}:
+	case decision := <-r.reply:
+		return decision
+	case <-t.done:
+		return Decision{Reason: "the controller ends"}
 	case <-ctx.Done():
-		return activation.WakeResponse{Reason: "not decided in time"}
+		t.post(context.Background(), departedMsg{r})
+		return Decision{Reason: "its client has gone"}
 	}
+}
+
+// Release ends a request that was granted.
+func (t *Tracker) Release(name string) { t.post(context.Background(), releasedMsg{name}) }
+
+// post hands the tracker a message, and tells whether it has taken it.
+func (t *Tracker) post(ctx context.Context, m any) bool {
 	select {
-	case response := <-reply:
-		return response
+	case t.mailbox <- m:
+		return true
+	case <-t.done:
+		return false
 	case <-ctx.Done():
-		return activation.WakeResponse{Reason: "not decided in time"}
+		return false
 	}
 }
 
-// Run serves lookups until ctx ends.
+// Run serves until ctx ends.
 func (t *Tracker) Run(ctx context.Context) {
+	defer close(t.done)
 	tick := time.NewTicker(t.pace.Retry)
 	defer tick.Stop()
+	usage := make(<-chan time.Time)
+	if t.pace.Usage > 0 {
+		ticker := time.NewTicker(t.pace.Usage)
+		defer ticker.Stop()
+		usage = ticker.C
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case l := <-t.lookups:
-			t.lookup(ctx, l, time.Now())
-		case a := <-t.answers:
-			t.answered(ctx, a, time.Now())
+		case m := <-t.mailbox:
+			t.handle(ctx, m, time.Now())
 		case <-tick.C:
 			t.tick(ctx, time.Now())
+		case <-usage:
+			t.reportUsage(ctx, time.Now())
 		}
 	}
 }
 
-func (t *Tracker) lookup(ctx context.Context, l lookup, now time.Time) {
-	m := t.models[l.model]
-	if m == nil {
-		m = &model{}
-		t.models[l.model] = m
-	}
-	if now.Before(m.until) {
-		l.reply <- m.known
-		return
+func (t *Tracker) handle(ctx context.Context, m any, now time.Time) {
+	switch m := m.(type) {
+	case *request:
+		t.requested(ctx, m, now)
+	case departedMsg:
+		t.departed(m.request, now)
+	case releasedMsg:
+		t.released(ctx, m.model, now)
+	case wokenMsg:
+		t.woken(ctx, m, now)
+	case usageMsg:
+		t.drain(m.response, now)
 	}
-	m.wanted = now.Add(t.pace.Remember)
-	if !m.asking && now.Before(m.retryAt) {
-		l.reply <- activation.WakeResponse{Reason: m.known.Reason, Expected: m.retryAt.Sub(now)}
-		return
-	}
-	m.waiting = append(m.waiting, l.reply)
-	if !m.asking {
-		m.inARow = 0
-		t.ask(ctx, l.model, m, now)
+}
+
+// tick asks again for models whose last word has run out while requests wait, repeats demand that
+// nobody has decided on, and forgets what nobody asks about any more.
+func (t *Tracker) tick(ctx context.Context, now time.Time) {
+	for name, m := range t.models {
+		t.expireHeld(m, now)
+		switch {
+		case m.asking:
+		case len(m.waiting) > 0 && !now.Before(m.until) || now.Before(m.wanted):
+			if !now.Before(m.retryAt) {
+				t.ask(ctx, name, m, now)
+			}
+		case m.forgettable(now, t.pace.Remember):
+			delete(t.models, name)
+		}
 	}
 }
 
 // ask sends a wake request that names the generation that is known.
 func (t *Tracker) ask(ctx context.Context, name string, m *model, now time.Time) {
-	m.asking = true
-	m.inARow++
 	req := activation.WakeRequest{Model: name, Generation: m.known.Generation}
+	if m.known.State == activation.Starting && len(m.waiting) > 0 {
+		req.Wait = t.pace.Wait
+	}
+	m.asking = true
 	go func() {
-		actx, cancel := context.WithTimeout(ctx, t.pace.Timeout)
+		asked, cancel := context.WithTimeout(ctx, t.pace.Timeout)
 		defer cancel()
-		a := answer{model: name, sent: now, asked: req.Generation, response: t.waker.Wake(actx, req)}
-		select {
-		case t.answers <- a:
-		case <-ctx.Done():
-		}
+		t.post(ctx, wokenMsg{name, now, req, t.scheduler.Wake(asked, req)})
 	}()
 }
 
-func (t *Tracker) answered(ctx context.Context, a answer, now time.Time) {
-	m := t.models[a.model]
+// woken takes in what a wake request came to.
+func (t *Tracker) woken(ctx context.Context, msg wokenMsg, now time.Time) {
+	m := t.models[msg.model]
 	m.asking = false
-	if a.response.Verdict == activation.Undecided {
-		t.undecided(m, a.response, now)
+	// What was asked before a drain began may tell of the time before it.
+	if msg.response.Verdict == activation.Undecided || msg.response.Ready() && msg.sent.Before(m.drainedAt) {
+		t.undecided(m, msg.response, now)
 		return
 	}
 	m.failures = 0
-	m.known, m.until = a.response, a.sent.Add(a.response.Holds)
-	if m.known.Asleep() && m.known.Generation != a.asked && m.inARow < askedTwice {
-		t.ask(ctx, a.model, m, now) // this demand named an earlier generation, and had no effect
+	m.known, m.until = msg.response, msg.sent.Add(msg.response.Holds)
+	if m.known.Asleep() && m.known.Generation != msg.req.Generation {
+		t.ask(ctx, msg.model, m, now) // this demand named an earlier generation, and had no effect
 		return
 	}
 	m.wanted = time.Time{}
-	m.answer(m.known)
+	t.decideWaiting(m, now)
+	putOff := msg.req.Wait == 0 || now.Sub(msg.sent) >= t.pace.Wait/2
+	if len(m.waiting) > 0 && m.known.State == activation.Starting && putOff {
+		t.ask(ctx, msg.model, m, now) // whose answer the leader puts off until something changes
+	}
 }
 
 // undecided takes in that nobody could tell: the demand is sent again after a pause.
@@ -171,31 +242,7 @@
 	pause := t.pace.Retry << min(m.failures, longestRetryShift)
 	pause = pause/2 + time.Duration(t.rand.Int64N(int64(pause/2)+1))
 	m.failures++
-	m.retryAt = now.Add(pause)
-	m.known.Reason = response.Reason
-	response.Expected = pause
-	m.answer(response)
-}
-
-func (m *model) answer(response activation.WakeResponse) {
-	for _, reply := range m.waiting {
-		reply <- response
-	}
-	m.waiting = nil
-}
-
-// tick repeats demand that nobody has decided on, and forgets what nobody asks about any more.
-func (t *Tracker) tick(ctx context.Context, now time.Time) {
-	for name, m := range t.models {
-		switch {
-		case m.asking:
-		case now.Before(m.wanted):
-			if !now.Before(m.retryAt) {
-				m.inARow = 0
-				t.ask(ctx, name, m, now)
-			}
-		case !now.Before(m.until):
-			delete(t.models, name)
-		}
-	}
+	m.retryAt, m.until = now.Add(pause), time.Time{}
+	m.reason = response.Reason
+	t.decideWaiting(m, now)
 }
--- a/internal/coordination/activation.go
+++ b/internal/coordination/activation.go
@@ -20,6 +20,10 @@
 	Listen  string // where requests for the models are taken; "": nowhere
 	Target  string // address of a model's server, with TargetHost in it
 	Body    int64  // the largest request that is passed on, in bytes
+	// Hold is the longest that a request waits for a model that starts; 0: none does. Held is how many do
+	// at a time, and Concurrent how many requests are passed on to one model at a time.
+	Hold             time.Duration
+	Held, Concurrent int
 }
 
 // TargetHost stands for the host of a model's machine in ActivationTuning.Target.
@@ -31,19 +35,37 @@
 	stablePerLease   = 1.0
 	backoffPerLease  = 0.1
 	cooldownPerLease = 4.0
+	idlePerLease     = 30.0
+	drainPerLease    = 2.0
 	startAttempts    = 5
 )
 
-// defaultBody is the largest request that is passed on.
-const defaultBody = 4 << 20
+const (
+	// defaultBody is the largest request that is passed on.
+	defaultBody = 4 << 20
+	// heldBytes is what a held request takes: its connection's buffers and its goroutines' stacks.
+	heldBytes = 48 << 10
+	// heldMemoryShare of the memory quota, and heldSocketShare of the sockets, may go to held requests.
+	heldMemoryShare = 1.0 / 16
+	heldSocketShare = 1.0 / 8
+	// defaultConcurrent is how many requests are passed on to one model at a time.
+	defaultConcurrent = 64
+)
+
+// defaultHeld is how many requests may be held at a time.
+func (s *Settings) defaultHeld() int {
+	byMemory := s.MemoryMB * (1 << 20) * heldMemoryShare / heldBytes
+	return max(1, int(min(byMemory, float64(s.Sockets)*heldSocketShare)))
+}
 
 func (s *Settings) defaultActivation() ActivationTuning {
 	return ActivationTuning{
 		Policy: activation.Policy{
+			IdleWindow: scale(s.Lease, idlePerLease), DrainTimeout: scale(s.Lease, drainPerLease),
 			StartWithin: scale(s.Lease, startPerLease), StableAfter: scale(s.Lease, stablePerLease),
 			Attempts: startAttempts, Backoff: scale(s.Lease, backoffPerLease), Cooldown: scale(s.Lease, cooldownPerLease),
 		},
-		Target: TargetHost + ":8000", Body: defaultBody,
+		Target: TargetHost + ":8000", Body: defaultBody, Held: s.defaultHeld(), Concurrent: defaultConcurrent,
 	}
 }
 
@@ -64,6 +86,9 @@
 	damaged   json.RawMessage // what is stored, if it can't be understood
 	unwritten int             // moves of the record that aren't durable yet
 	wokenAt   time.Time       // when the present wake began, if that was in this term
+	watchers  []wakeWatcher   // nodes that wait for it to start
+	// routedTill is until when some node may pass requests on by an answer of this term or the one before.
+	routedTill time.Time
 }
 
 // stored is the record as it goes into the job's.
@@ -128,16 +153,20 @@
 	host     activationHost
 	log      *slog.Logger
 	gate     upgrade.GateState
-	services map[string]*managedService // by job
-	starting map[string]*managedService // those of them that are to start, or start
+	services map[string]*managedService  // by job
+	awake    map[string]*managedService  // those of them that aren't at zero
+	usage    map[string]*controllerUsage // by controller
+	retired  map[string]bool             // sessions of controllers that have ended
 	starts   map[string]*hdrhistogram.Histogram
-	removing int // records whose removal isn't durable yet
+	removing int  // records whose removal isn't durable yet
+	resumed  bool // the term's actors run; attempts that were found before are known by loaded
 }
 
 func newActivationController(settings *Settings, gate upgrade.GateState, host activationHost, log *slog.Logger) *activationController {
 	return &activationController{
 		tuning: &settings.Tuning.Activation, settings: settings, gate: gate, host: host, log: log,
-		services: make(map[string]*managedService), starting: make(map[string]*managedService),
+		services: make(map[string]*managedService), awake: make(map[string]*managedService),
+		usage: make(map[string]*controllerUsage), retired: make(map[string]bool),
 		starts: make(map[string]*hdrhistogram.Histogram),
 	}
 }
@@ -172,7 +201,7 @@
 	c.hold(&managedService{job: j, record: record})
 }
 
-// loaded goes on where the records of a new term stand, now that the attempts are known.
+// loaded brings the records of a new term together with its attempts.
 func (c *activationController) loaded(now time.Time) {
 	for _, s := range c.services {
 		if s.damaged != nil {
@@ -183,11 +212,22 @@
 			replica = a.try
 		}
 		next, _ := s.record.Restore(replica, &c.tuning.Policy, now)
-		c.move(s, next, now)
+		s.routedTill = now.Add(scale(c.settings.RoutingLease(), driftBound))
+		c.set(s, next)
 	}
 	c.bringUpUnlisted()
 }
 
+// resume acts on the records of a new term, once its actors run.
+func (c *activationController) resume(now time.Time) {
+	c.resumed = true
+	for _, s := range c.services {
+		if s.damaged == nil {
+			c.act(s, now)
+		}
+	}
+}
+
 // setGate takes in whether lifecycles may be in use. While they may not, every service comes up.
 func (c *activationController) setGate(gate upgrade.GateState) {
 	c.gate = gate
@@ -219,7 +259,12 @@
 // end lets go of a service, which is cancelled or runs always from now on.
 func (c *activationController) end(j *job) {
 	delete(c.services, j.spec.ID)
-	delete(c.starting, j.spec.ID)
+	delete(c.awake, j.spec.ID)
+	if s := j.managed; s != nil {
+		for _, w := range s.watchers {
+			w.reply <- undecided("it runs always, or no longer")
+		}
+	}
 	j.managed = nil
 }
 
@@ -232,33 +277,42 @@
 	c.move(s, next, now)
 }
 
-// move takes a record as it was moved, has it written if it is stored otherwise now, and goes on once
-// that is durable.
+// move takes a record as it was moved, and goes on once that is durable.
 func (c *activationController) move(s *managedService, next activation.Record, now time.Time) {
+	if !c.set(s, next) {
+		c.act(s, now)
+	}
+}
+
+// set takes a record as it was moved, and has it written if it is stored otherwise now. It tells whether it
+// is; then the service goes on once that is durable.
+func (c *activationController) set(s *managedService, next activation.Record) (writes bool) {
 	before := s.record
 	s.record = next
-	c.noteStarting(s)
+	c.noteAwake(s)
 	if next.SameStored(before) {
-		c.act(s, now)
-		return
+		return false
 	}
 	c.log.Info("activation", "job", s.job.spec.ID, "class", s.job.spec.Class, "state", next.State, "generation", next.Generation, "failures", next.Failures, "before", before.State)
 	s.unwritten++
 	c.host.recordJob(s.job, func(err error) {
 		s.unwritten--
 		if err == nil && s.job.managed == s {
-			c.act(s, time.Now())
+			now := time.Now()
+			c.act(s, now)
+			c.answerWatchers(s, now)
 		}
 	})
+	return true
 }
 
-// noteStarting keeps the set of services that time moves.
-func (c *activationController) noteStarting(s *managedService) {
-	if s.record.State == activation.Starting {
-		c.starting[s.job.spec.ID] = s
+// noteAwake keeps the set of services that time moves.
+func (c *activationController) noteAwake(s *managedService) {
+	if s.record.State == activation.Idle || s.record.State == activation.Failed {
+		delete(c.awake, s.job.spec.ID)
 		return
 	}
-	delete(c.starting, s.job.spec.ID)
+	c.awake[s.job.spec.ID] = s
 }
 
 // act carries out what the record asks for, if it is durable. Starts go by the ordinary path of any
@@ -279,9 +333,9 @@
 	}
 }
 
-// booked takes in an attempt that was booked, or found.
+// booked takes in an attempt that was booked, or found on a machine.
 func (c *activationController) booked(a *attempt, now time.Time) {
-	if s := a.job.managed; s != nil && !a.stop {
+	if s := a.job.managed; s != nil && !a.stop && c.resumed {
 		c.apply(s, activation.Booked{Generation: s.record.Generation, Attempt: a.try}, now)
 	}
 }
@@ -309,11 +363,13 @@
 
 // tick does what the clock asks for. Idle services cost nothing.
 func (c *activationController) tick(now time.Time) {
-	for _, s := range c.starting {
+	for _, s := range c.awake {
 		var booked time.Duration
 		if a := s.replica(); a != nil {
 			booked = now.Sub(a.booked)
 		}
 		c.apply(s, activation.Tick{Booked: booked}, now)
+		c.tendUsage(s, now)
+		c.answerWatchers(s, now)
 	}
 }
--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -248,6 +248,7 @@
 func (d *dispatcher) run(ctx context.Context) error {
 	d.unannounced = slices.Clone(d.order)
 	d.announceTokens()
+	d.activation.resume(time.Now())
 	tick := time.NewTicker(scale(d.settings.Report, tickPerReport))
 	defer tick.Stop()
 	rest := time.NewTimer(0) // ends placement's rest
@@ -344,6 +345,8 @@
 		d.drainSurplus(m)
 	case wakeMsg:
 		d.handleWake(m)
+	case usageReportMsg:
+		d.handleUsage(m)
 	default:
 		d.log.Error("unknown message", "type", fmt.Sprintf("%T", m))
 	}
--- a/internal/coordination/lease_guards_test.go
+++ b/internal/coordination/lease_guards_test.go
@@ -158,6 +158,10 @@
 	return Answer{Peer: s[node].Wire()}, nil
 }
 
+func (scriptedPeers) ReportUsage(context.Context, string, activation.UsageReport) (activation.UsageResponse, error) {
+	return activation.UsageResponse{}, errors.New("not scripted")
+}
+
 func (scriptedPeers) Wake(context.Context, string, activation.WakeRequest) (activation.WakeResponse, error) {
 	return activation.WakeResponse{}, errors.New("not scripted")
 }
--- a/internal/coordination/ports.go
+++ b/internal/coordination/ports.go
@@ -265,6 +265,8 @@
 	Heartbeats(ctx context.Context, node string, reports []*Report) ([]HeartbeatResponse, error)
 	// Wake tells the named node of demand for a model; an error means that no answer came.
 	Wake(ctx context.Context, node string, req activation.WakeRequest) (activation.WakeResponse, error)
+	// ReportUsage tells the named node how models are used here; an error means that no answer came.
+	ReportUsage(ctx context.Context, node string, report activation.UsageReport) (activation.UsageResponse, error)
 	// Status is the named node's latest status; ok is false if there is none.
 	Status(node string) (w PeerReport, ok bool)
 	// SilentFor is for how long the named node has been out of reach; 0: it is
--- a/internal/coordination/simulation_test.go
+++ b/internal/coordination/simulation_test.go
@@ -21,34 +21,37 @@
 // simulation is a small deployment in memory and simulated time: nodes, a state
 // service, a cloud, workers and the cuts between them. It watches the rules.
 type simulation struct {
-	t         *testing.T
-	settings  Settings
-	state     *storagetest.Service
-	cloud     *fakeCloud
-	nodes     []*fakeNode
-	mu        sync.Mutex // guards what follows, and all workers and the cloud
-	workers   map[int]*fakeWorker
-	specs     map[string]storage.Spec
-	cancelAt  map[string]time.Time // when a user was told so
-	answered  map[string]JobState  // the latest that a user was told, running as pending
-	askedOff  map[string]bool      // jobs that a user asked to cancel
-	ran       map[TaskID]bool      // tasks that have completed
-	kept      []*Report            // copies of reports, to come again late
-	keeping   bool
-	copying   bool            // copies of direct orders are kept, to be repeated late
-	together  map[string]int  // how often a gang has begun
-	overrun   map[string]bool // cancelled jobs seen beyond their time
-	mistaken  map[string]bool // jobs that fail wherever they run
-	starts    int
-	launches  map[string][]launch      // starts that a worker took on, by job
-	wakes     []activation.WakeRequest // that nodes sent each other, to come again late
-	failing   map[string]time.Duration // jobs whose tasks fail after so long on any machine
-	apart     atomic.Pointer[string]   // a zone that is cut off from everything
-	over      atomic.Bool              // machines that boot now stay away
-	dropped   atomic.Bool              // a leader has been killed with what it sent
-	processes sync.Mutex               // of nodes that several troubles begin and end
-	log       *slog.Logger
-	slow      atomic.Int64 // up to how long each log record holds up its node, in ns
+	t            *testing.T
+	settings     Settings
+	state        *storagetest.Service
+	cloud        *fakeCloud
+	nodes        []*fakeNode
+	mu           sync.Mutex // guards what follows, and all workers and the cloud
+	workers      map[int]*fakeWorker
+	specs        map[string]storage.Spec
+	cancelAt     map[string]time.Time // when a user was told so
+	answered     map[string]JobState  // the latest that a user was told, running as pending
+	askedOff     map[string]bool      // jobs that a user asked to cancel
+	ran          map[TaskID]bool      // tasks that have completed
+	kept         []*Report            // copies of reports, to come again late
+	keeping      bool
+	copying      bool            // copies of direct orders are kept, to be repeated late
+	together     map[string]int  // how often a gang has begun
+	overrun      map[string]bool // cancelled jobs seen beyond their time
+	mistaken     map[string]bool // jobs that fail wherever they run
+	starts       int
+	launches     map[string][]launch      // starts that a worker took on, by job
+	wakes        []activation.WakeRequest // that nodes sent each other, to come again late
+	usages       []activation.UsageReport // likewise
+	failing      map[string]time.Duration // jobs whose tasks fail after so long on any machine
+	apart        atomic.Pointer[string]   // a zone that is cut off from everything
+	over         atomic.Bool              // machines that boot now stay away
+	dropped      atomic.Bool              // a leader has been killed with what it sent
+	processCount atomic.Uint64            // processes that were begun
+	lossy        atomic.Bool              // machines or models fail, so that requests may find none
+	processes    sync.Mutex               // of nodes that several troubles begin and end
+	log          *slog.Logger
+	slow         atomic.Int64 // up to how long each log record holds up its node, in ns
 }
 
 // slowProcessor holds up whoever logs: what comes between a check and its effect on a
--- a/internal/coordination/wake.go
+++ b/internal/coordination/wake.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -27,25 +28,34 @@
 	if v.dispatcher != nil {
 		return v.dispatcher.wake(ctx, req)
 	}
-	leader, _ := n.leader(v)
-	if leader == "" || leader == n.settings.Node {
-		return undecided("no leader yet")
-	}
-	// Earlier versions would take the message for something else.
-	if status, ok := n.deps.Peers.Status(leader); !ok || status.Version < firstWithActivation {
-		return undecided("the leader isn't known to take demand")
+	leader, reason := n.activationLeader(v)
+	if leader == "" {
+		return undecided(reason)
 	}
 	asked := time.Now()
 	response, err := n.deps.Peers.Wake(ctx, leader, req)
 	if err != nil {
 		return undecided("leader out of reach")
 	}
-	if response.Verdict != activation.Undecided && time.Since(asked) > response.Holds {
+	if response.Verdict != activation.Undecided && time.Since(asked) > response.Holds+req.Wait {
 		return undecided("the leader's answer came late")
 	}
 	return response
 }
 
+// activationLeader names the leader, if it is another node that takes demand and usage; else it tells
+// why not. Earlier versions would take the messages for something else.
+func (n *Node) activationLeader(v *view) (leader, reason string) {
+	leader, _ = n.leader(v)
+	if leader == "" || leader == n.settings.Node {
+		return "", "no leader yet"
+	}
+	if status, ok := n.deps.Peers.Status(leader); !ok || status.Version < firstWithActivation {
+		return "", "the leader isn't known to take demand"
+	}
+	return leader, ""
+}
+
 // LocalWake answers a wake request that another node sent.
 func (n *Node) LocalWake(ctx context.Context, req activation.WakeRequest) activation.WakeResponse {
 	if v := n.view.Load(); v.dispatcher != nil {
@@ -121,6 +131,10 @@
 	if s.record.Generation != generation {
 		s.wokenAt = now
 	}
+	if m.req.Wait > 0 && s.damaged == nil && s.record.State == activation.Starting {
+		s.watchers = append(s.watchers, wakeWatcher{m.reply, now.Add(m.req.Wait)})
+		return
+	}
 	if s.unwritten == 0 {
 		m.reply <- c.response(s, now)
 		return
@@ -134,9 +148,34 @@
 	})
 }
 
+// wakeWatcher is a node that waits for a model to start.
+type wakeWatcher struct {
+	reply chan activation.WakeResponse
+	until time.Time
+}
+
+// answerWatchers answers those who have waited for long enough, and all once the model has started, or
+// won't.
+func (c *activationController) answerWatchers(s *managedService, now time.Time) {
+	if s.unwritten > 0 {
+		return
+	}
+	starting := s.record.State == activation.Starting
+	s.watchers = slices.DeleteFunc(s.watchers, func(w wakeWatcher) bool {
+		due := !starting || !now.Before(w.until)
+		if due {
+			w.reply <- c.response(s, now)
+		}
+		return due
+	})
+}
+
+// runsAlways is the reason that is told with a service that has no lifecycle.
+const runsAlways = "runs always"
+
 // alwaysUp tells of a service that runs without regard to demand.
 func (c *activationController) alwaysUp(j *job) activation.WakeResponse {
-	response := activation.WakeResponse{Verdict: activation.Known, State: activation.Starting, Holds: c.settings.WakeInterval(), Reason: "runs always"}
+	response := activation.WakeResponse{Verdict: activation.Known, State: activation.Starting, Holds: c.settings.WakeInterval(), Reason: runsAlways}
 	for _, a := range j.attempts {
 		if a.answers() {
 			response.State, response.Machine, response.Holds = activation.Ready, a.on.addr, c.settings.RoutingLease()
@@ -160,6 +199,7 @@
 	case activation.Ready:
 		if a := s.replica(); a != nil && a.answers() {
 			response.Machine, response.Holds = a.on.addr, c.settings.RoutingLease()
+			s.routedTill = now.Add(scale(c.settings.RoutingLease(), driftBound))
 		}
 	case activation.Starting:
 		response.Expected = c.expectedStart(s, now)
--- a/internal/transport/peer_link.go
+++ b/internal/transport/peer_link.go
@@ -16,21 +16,28 @@
 type call struct {
 	ask   peerAsk
 	wake  *activation.WakeRequest // if not nil, what is asked
+	usage *activation.UsageReport // likewise
 	reply chan result
 }
 
 // message is what is sent for a call.
 func (c *call) message(serial uint64) any {
-	if c.wake != nil {
+	switch {
+	case c.wake != nil:
 		return wakeAsk{serial, c.wake}
+	case c.usage != nil:
+		return usageAsk{serial, c.usage}
 	}
 	c.ask.Serial = serial
 	return c.ask
 }
 
+// asksUser tells whether a user's request, or a ping, is what is asked.
+func (c *call) asksUser() bool { return c.wake == nil && c.usage == nil && c.ask.Reports == nil }
+
 // isPing tells whether a call asks for the peer's status.
 func (c *call) isPing() bool {
-	return c.wake == nil && c.ask.Reports == nil && c.ask.Req.Op == coordination.OpPing
+	return c.asksUser() && c.ask.Req.Op == coordination.OpPing
 }
 
 type result struct {
@@ -153,7 +160,7 @@
 // mayWait tells whether a request may be gathered with others: polls are many and not
 // urgent, and each message by itself would wake the peer.
 func (c *call) mayWait() bool {
-	return c.wake == nil && c.ask.Reports == nil && c.ask.Req.Op == coordination.OpPoll
+	return c.asksUser() && c.ask.Req.Op == coordination.OpPoll
 }
 
 // flush sends what has gathered.
--- a/internal/transport/peer_server.go
+++ b/internal/transport/peer_server.go
@@ -18,6 +18,7 @@
 	Local(ctx context.Context, req coordination.UserRequest) coordination.Answer
 	LocalHeartbeats(ctx context.Context, reports []*coordination.Report) []coordination.HeartbeatResponse
 	LocalWake(ctx context.Context, req activation.WakeRequest) activation.WakeResponse
+	LocalUsage(ctx context.Context, report activation.UsageReport) activation.UsageResponse
 }
 
 // answerOf has a message answered.
@@ -26,6 +27,9 @@
 	case ask.Wake != nil:
 		response := local.LocalWake(ctx, *ask.Wake)
 		return wakeAnswer{ask.Serial, &response}
+	case ask.Usage != nil:
+		response := local.LocalUsage(ctx, *ask.Usage)
+		return usageAnswer{ask.Serial, &response}
 	case ask.Reports != nil:
 		return peerAnswer{Serial: ask.Serial, Beats: coordination.WireResponses(local.LocalHeartbeats(ctx, ask.Reports))}
 	}
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -41,12 +41,25 @@
 	Wake   *activation.WakeResponse
 }
 
+// usageAsk tells how models are used. Only peers that say that they take it are sent it.
+type usageAsk struct {
+	Serial uint64
+	Usage  *activation.UsageReport
+}
+
+// usageAnswer answers a usageAsk.
+type usageAnswer struct {
+	Serial uint64
+	Usage  *activation.UsageResponse
+}
+
 // receivedAsk is any message that asks.
 type receivedAsk struct {
 	Serial  uint64
 	Req     coordination.UserRequest
 	Reports []*coordination.Report
 	Wake    *activation.WakeRequest
+	Usage   *activation.UsageReport
 }
 
 // receivedAnswer is any message that answers.
@@ -55,6 +68,7 @@
 	Answer coordination.Answer
 	Beats  []coordination.BeatAnswer
 	Wake   *activation.WakeResponse
+	Usage  *activation.UsageResponse
 }
 
 const (
@@ -156,6 +170,18 @@
 	return *a.Wake, nil
 }
 
+// ReportUsage tells the named node how models are used here.
+func (p *Peers) ReportUsage(ctx context.Context, node string, report activation.UsageReport) (activation.UsageResponse, error) {
+	a, err := p.ask(ctx, node, call{usage: &report})
+	if err == nil && a.Usage == nil {
+		err = fmt.Errorf("%w: it takes no usage", errPeer)
+	}
+	if err != nil {
+		return activation.UsageResponse{}, err
+	}
+	return *a.Usage, nil
+}
+
 func (p *Peers) ask(ctx context.Context, node string, c call) (receivedAnswer, error) {
 	l := p.links[node]
 	if l == nil {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -138,6 +138,10 @@
 	return coordination.Answer{Code: coordination.CodeOK, ID: req.ID, Peer: coordination.PeerState{Leader: req.ID}}
 }
 
+func (fakeLocal) LocalUsage(_ context.Context, report activation.UsageReport) activation.UsageResponse {
+	return activation.UsageResponse{Verdict: activation.Known, Draining: []activation.DrainOrder{{Model: report.Models[0].Model, Drain: report.Serial}}}
+}
+
 func (fakeLocal) LocalWake(_ context.Context, req activation.WakeRequest) activation.WakeResponse {
 	return activation.WakeResponse{Verdict: activation.Known, State: activation.Ready, Generation: req.Generation, Machine: req.Model}
 }
