The edge for models, its properties and status, and fleetload wake with stand-in model servers

Cause: demand had no way into the program, operators no setting and no view, and only simulated time had shown one start per wake.

Change: where activation.listen says, a controller takes requests under /models/{job id}/, holds them while the model starts and passes each on once, by the standard reverse proxy without kept connections; each has one final answer. activation.* properties, checked in one line; deploy/activation.properties; sagevale activation status. fleetload wake starts real controllers and model servers that count their own starts, brings faults about in the first wake, and exits with 1 on a second start in a wake or a request without an answer.

Found by it: idle connections of clients filled the edge's bound, so that held requests' places were never given on (291 of 2,400 requests without an answer in 40 s); connections aren't kept, and what may be held lies below the bound.

--- a/cmd/fleetload/main.go
+++ b/cmd/fleetload/main.go
@@ -33,7 +33,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(newRunCommand(), newFitCommand(), newDemoCommand())
+	cmd.AddCommand(newRunCommand(), newFitCommand(), newDemoCommand(), newWakeCommand())
 	cmd.CompletionOptions.DisableDefaultCmd = true
 	return cmd
 }
--- a/cmd/sagevale/main.go
+++ b/cmd/sagevale/main.go
@@ -61,7 +61,7 @@
 	if err := cmd.MarkPersistentFlagRequired("config"); err != nil {
 		panic(err)
 	}
-	cmd.AddCommand(upgradeStatus.build(load), archiveStatus.build(load))
+	cmd.AddCommand(upgradeStatus.build(load), archiveStatus.build(load), activationStatus.build(load))
 	cmd.CompletionOptions.DisableDefaultCmd = true
 	return cmd
 }
--- a/cmd/sagevale/serve.go
+++ b/cmd/sagevale/serve.go
@@ -64,7 +64,11 @@
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	log.Info("serving", "users", s.Listen, "peers", s.PeerListen, "version", version, "after", time.Since(began))
-	server := transport.NewServer(node, transport.Bounds{Sockets: s.Sockets, MemoryMB: s.MemoryMB}, log)
+	models, err := newModelEdge(s, node, log)
+	if err != nil {
+		return err
+	}
+	server := transport.NewServer(node, transport.Bounds{Sockets: s.Sockets - models.sockets(), MemoryMB: s.MemoryMB}, log)
 	usage := &telemetry.Reporter{
 		Log: log, Interval: time.Duration(usageReports * float64(s.Report)), CPUShare: s.CPUShare,
 		Gauges: func() []any {
@@ -76,6 +80,7 @@
 	g.Go(func() error { return server.Serve(ctx, users) })
 	g.Go(func() error { return transport.ServePeers(ctx, peerListener, node, log) })
 	g.Go(func() error { peers.Run(ctx); return nil })
+	g.Go(func() error { return models.serve(ctx) })
 	g.Go(func() error { usage.Run(ctx); return nil })
 	return g.Wait()
 }
--- a/internal/coordination/activation.go
+++ b/internal/coordination/activation.go
@@ -18,7 +18,7 @@
 	Classes []string // whose services of one task run only once there is demand
 	Policy  activation.Policy
 	Listen  string // where requests for the models are taken; "": nowhere
-	Target  string // address of a model's server, with TargetHost in it
+	Target  string // address of a model's server, as package activator has it; "": its default
 	Body    int64  // the largest request that is passed on, in bytes
 	// Hold is the longest that a request waits for a model that starts; 0: none does. Held is how many do
 	// at a time, and Concurrent how many requests are passed on to one model at a time.
@@ -26,9 +26,6 @@
 	Held, Concurrent int
 }
 
-// TargetHost stands for the host of a model's machine in ActivationTuning.Target.
-const TargetHost = "{host}"
-
 // Ratios of the defaults to the workers' lease.
 const (
 	startPerLease    = 10.0
@@ -45,17 +42,29 @@
 	defaultBody = 4 << 20
 	// heldBytes is what a held request takes: its connection's buffers and its goroutines' stacks.
 	heldBytes = 48 << 10
-	// heldMemoryShare of the memory quota, and heldSocketShare of the sockets, may go to held requests.
+	// heldMemoryShare of the memory quota may go to held requests.
 	heldMemoryShare = 1.0 / 16
-	heldSocketShare = 1.0 / 8
+	// modelSocketShare of the sockets go to requests for models, each of which takes two: its client's
+	// connection, and the one to the model.
+	modelSocketShare = 1.0 / 4
+	// heldShare of the connections may be held; the others are passed on, or told at once when to come again.
+	heldShare = 3.0 / 4
 	// defaultConcurrent is how many requests are passed on to one model at a time.
 	defaultConcurrent = 64
 )
 
+// ModelConnections is how many connections of clients of models a controller takes at a time.
+func (s *Settings) ModelConnections() int {
+	return max(2, int(float64(s.Sockets)*modelSocketShare/2))
+}
+
+// MostHeld is how many requests for models its connections allow a controller to hold.
+func (s *Settings) MostHeld() int { return max(1, int(float64(s.ModelConnections())*heldShare)) }
+
 // defaultHeld is how many requests may be held at a time.
 func (s *Settings) defaultHeld() int {
-	byMemory := s.MemoryMB * (1 << 20) * heldMemoryShare / heldBytes
-	return max(1, int(min(byMemory, float64(s.Sockets)*heldSocketShare)))
+	byMemory := int(s.MemoryMB * (1 << 20) * heldMemoryShare / heldBytes)
+	return max(1, min(byMemory, s.MostHeld()))
 }
 
 func (s *Settings) defaultActivation() ActivationTuning {
@@ -65,7 +74,7 @@
 			StartWithin: scale(s.Lease, startPerLease), StableAfter: scale(s.Lease, stablePerLease),
 			Attempts: startAttempts, Backoff: scale(s.Lease, backoffPerLease), Cooldown: scale(s.Lease, cooldownPerLease),
 		},
-		Target: TargetHost + ":8000", Body: defaultBody, Held: s.defaultHeld(), Concurrent: defaultConcurrent,
+		Body: defaultBody, Held: s.defaultHeld(), Concurrent: defaultConcurrent,
 	}
 }
 
--- /dev/null
+++ b/internal/coordination/activation_status.go
@@ -0,0 +1,122 @@
+package coordination
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"sagevale/internal/activation"
+	"sagevale/internal/storage"
+	"sagevale/internal/upgrade"
+)
+
+// ServiceStatus is what the state service tells of a service that may be at zero, or of an open one of a
+// listed class, for operators.
+type ServiceStatus struct {
+	ID      string
+	Class   string
+	Record  activation.Record // its Replica is the attempt that may be on a machine
+	Machine int               // where that is
+	Managed bool              // it has a record; else it runs always
+	Damaged string            // what is wrong with its record; "": nothing
+	Why     string            // why it isn't at zero, or not up; "": it is at zero
+}
+
+// ActivationStatus is the same of all of them.
+type ActivationStatus struct {
+	Gate     upgrade.GateState // the zero state is closed
+	Waiting  string            // what the latest leader to say so waits for; "": nothing
+	Services []ServiceStatus   // by id
+}
+
+// ReadActivationStatus reads the journal. It writes nothing.
+func ReadActivationStatus(ctx context.Context, svc storage.StateService, s *Settings) (ActivationStatus, error) {
+	upgrading, err := ReadUpgradeStatus(ctx, svc, s)
+	if err != nil {
+		return ActivationStatus{}, err
+	}
+	status := ActivationStatus{Gate: upgrading.Record.Gate(upgrade.Activation), Waiting: upgrading.Waiting}
+	journal, err := storage.OpenJournal(ctx, svc, storage.NewLimitTracker(s.State), storage.Guard{})
+	if err != nil {
+		return ActivationStatus{}, err
+	}
+	services := make(map[string]*ServiceStatus)
+	records := journal.Records()
+	for _, r := range records {
+		if r.Key[0] != storage.KindJob {
+			continue
+		}
+		if service := serviceStatus(r, &s.Tuning.Activation); service != nil {
+			services[service.ID] = service
+		}
+	}
+	for _, r := range records {
+		if r.Key[0] == storage.KindPage {
+			notePlace(services, r)
+		}
+	}
+	for _, service := range services {
+		service.explain(time.Now())
+		status.Services = append(status.Services, *service)
+	}
+	slices.SortFunc(status.Services, func(a, b ServiceStatus) int { return strings.Compare(a.ID, b.ID) })
+	return status, nil
+}
+
+// serviceStatus reads a job's record; nil: it is of no concern here.
+func serviceStatus(r storage.Record, tuning *ActivationTuning) *ServiceStatus {
+	var job storage.JobRecord
+	if json.Unmarshal(r.Data, &job) != nil || job.Phase != storage.Open || job.Spec == nil || !job.Spec.Service {
+		return nil
+	}
+	if job.Activation == nil && !slices.Contains(tuning.Classes, job.Spec.Class) {
+		return nil
+	}
+	service := &ServiceStatus{ID: r.Key[1:], Class: job.Spec.Class, Managed: job.Activation != nil}
+	if !service.Managed {
+		return service
+	}
+	record, err := activation.Decode(r.Key, job.Activation)
+	if err != nil {
+		service.Damaged = err.Error()
+	}
+	service.Record = record
+	return service
+}
+
+// notePlace reads where a service's replica may be.
+func notePlace(services map[string]*ServiceStatus, r storage.Record) {
+	id, _, _ := strings.Cut(r.Key[1:], "/")
+	service := services[id]
+	var page storage.PageRecord
+	if service == nil || json.Unmarshal(r.Data, &page) != nil {
+		return
+	}
+	for _, a := range page.Attempts {
+		service.Record.Replica, service.Machine = a.Try, a.Machine
+	}
+}
+
+// explain tells why a service isn't at zero, or not up.
+func (s *ServiceStatus) explain(now time.Time) {
+	switch {
+	case s.Damaged != "":
+		s.Why = s.Damaged
+	case !s.Managed:
+		s.Why = "runs always: it has several tasks, or was accepted before this was in force"
+	case s.Record.Rests(now) > 0:
+		s.Why = "rests for " + s.Record.Rests(now).Round(time.Second).String() + " after starts that failed"
+	case s.Record.State == activation.Starting && s.Record.Replica == activation.NoReplica:
+		s.Why = "there was demand; waits for room on a machine"
+	case s.Record.State == activation.Starting:
+		s.Why = "there was demand; its replica doesn't answer yet"
+	case s.Record.State == activation.Ready:
+		s.Why = "requests within the idle window, or a controller is silent"
+	case s.Record.State == activation.Draining:
+		s.Why = "waits until no controller passes requests on"
+	case s.Record.State == activation.Stopping:
+		s.Why = "waits for the proof that its replica is gone"
+	}
+}
--- a/internal/fleetload/fleetload_test.go
+++ b/internal/fleetload/fleetload_test.go
@@ -119,3 +119,44 @@
 		t.Error(err)
 	}
 }
+
+// Models wake once by a burst at all controllers, while the leader ends, the state service is out and all end,
+// and each request has one final answer.
+func TestWakes(t *testing.T) {
+	binary, err := Program(t.Context(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for seed, faults := range [][]Fault{
+		{{Kind: LeaderEnds, At: 30 * time.Millisecond}, {Kind: StateOut, At: 100 * time.Millisecond, For: time.Second}},
+		{{Kind: AllEnd, At: 60 * time.Millisecond}, {Kind: LeaderEnds, At: 400 * time.Millisecond}},
+	} {
+		t.Run(faults[0].String(), func(t *testing.T) {
+			t.Parallel()
+			c := DefaultWakeConfig()
+			c.Binary, c.Dir, c.Models, c.Requests, c.Wakes, c.Seed, c.Faults = binary, t.TempDir(), 3, 60, 2, uint64(seed), faults
+			r, err := Wake(t.Context(), c, io.Discard)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(r.Broken) > 0 || r.Starts != 6 || r.Wakes != 6 || r.Answers != 360 || r.Requests != 360 || r.FirstAnswer.Count != 6 {
+				t.Errorf("%+v", r)
+			}
+		})
+	}
+	for flag, change := range map[string]func(*WakeConfig){
+		"models":   func(c *WakeConfig) { c.Models = 0 },
+		"requests": func(c *WakeConfig) { c.Requests = 0 },
+		"wakes":    func(c *WakeConfig) { c.Wakes = 0 },
+		"idle":     func(c *WakeConfig) { c.Idle = time.Millisecond },
+		"patience": func(c *WakeConfig) { c.Patience = time.Second },
+		"workers":  func(c *WakeConfig) { c.Workers = 0 },
+	} {
+		c := DefaultWakeConfig()
+		change(&c)
+		var flagError *FlagError
+		if err := c.Check(); !errors.As(err, &flagError) || flagError.Flag != flag {
+			t.Errorf("%s: %v", flag, err)
+		}
+	}
+}
--- a/internal/loopbacktest/fleet.go
+++ b/internal/loopbacktest/fleet.go
@@ -33,6 +33,7 @@
 type Controller struct {
 	Name    string
 	Users   string // address
+	Models  string // address for requests to models, if it listens there
 	peers   string
 	Program Program
 	process *exec.Cmd
@@ -78,6 +79,9 @@
 		if c.peers, err = freeAddr(); err != nil {
 			return nil, err
 		}
+		if c.Models, err = freeAddr(); err != nil {
+			return nil, err
+		}
 		f.Controllers = append(f.Controllers, c)
 		names, addrs = append(names, c.Name), append(addrs, c.Users)
 	}
--- a/internal/loopbacktest/tasks.go
+++ b/internal/loopbacktest/tasks.go
@@ -156,6 +156,9 @@
 	if j.gang() {
 		t.state = "gathering"
 	}
+	if j.service() {
+		w.modelStarted(t.job, now)
+	}
 }
 
 // gather starts a gang once all its tasks wait.
--- a/internal/loopbacktest/worker.go
+++ b/internal/loopbacktest/worker.go
@@ -46,7 +46,8 @@
 	names         map[string]int
 	ledger        *ledger
 	startedBefore map[string]bool
-	reportDelay   *hdrhistogram.Histogram // from report to answer, in microseconds
+	models        map[string]*ModelFigures // by job
+	reportDelay   *hdrhistogram.Histogram  // from report to answer, in microseconds
 	traffic       *Traffic
 	closed        chan struct{}
 	client        *http.Client
@@ -62,7 +63,7 @@
 func NewWorkers(timing Timing, teams []Team, names, addrs []string, traffic *Traffic) (*Workers, error) {
 	w := &Workers{
 		timing: timing, machines: make(map[int]*machine), byAddr: make(map[string]*machine), jobs: make(map[string]Job),
-		nodes: addrs, names: make(map[string]int), ledger: newLedger(teams), startedBefore: make(map[string]bool),
+		nodes: addrs, names: make(map[string]int), ledger: newLedger(teams), startedBefore: make(map[string]bool), models: make(map[string]*ModelFigures),
 		reportDelay: hdrhistogram.New(1, slowest, 3), traffic: traffic, closed: make(chan struct{}),
 		client: &http.Client{Timeout: reportTimeout, Transport: &http.Transport{MaxIdleConns: 0, MaxIdleConnsPerHost: connectionsPerNode}},
 	}
@@ -90,6 +91,7 @@
 	mux.HandleFunc("GET /show", w.onMachine(func(m *machine, rw http.ResponseWriter, _ *http.Request) {
 		reply(rw, http.StatusOK, w.show(m))
 	}))
+	mux.HandleFunc("/", w.onMachine(w.serveModel))
 	w.listener, w.server = listener, &http.Server{Handler: mux}
 	go func() { _ = w.server.Serve(listener) }()
 	go w.watchCancelled()
--- a/internal/protocol/properties.go
+++ b/internal/protocol/properties.go
@@ -25,14 +25,7 @@
 	c := checker{file: file}
 	t := &s.Tuning
 	span := func(d *time.Duration) func(string, string) {
-		return func(key, v string) {
-			x, err := time.ParseDuration(v)
-			if err != nil || x <= 0 {
-				c.fail(key, "must be a positive duration such as 10s")
-				return
-			}
-			*d = x
-		}
+		return func(key, v string) { *d = c.parseSpan(key, v) }
 	}
 	known := map[string]func(string, string){
 		"fleet.up.window":   span(&t.UpWindow),
@@ -46,6 +39,7 @@
 	c.upgradeProperties(known, &t.Upgrade)
 	c.archiveProperties(known, &t.Archive)
 	c.fencingProperties(known, &t.Fencing)
+	c.activationProperties(known, &t.Activation)
 	known[deprecatedHeadroomProperty] = known[headroomProperty]
 	if _, old := p.Get(deprecatedHeadroomProperty); old {
 		s.Warnings = append(s.Warnings, fmt.Sprintf("%s: %s: is deprecated, use %s", file, deprecatedHeadroomProperty, headroomProperty))
@@ -70,6 +64,9 @@
 	if c.err == nil && t.DownWindow <= t.UpWindow {
 		c.fail("fleet.down.window", "must be longer than fleet.up.window")
 	}
+	if c.err == nil {
+		c.checkActivation(s)
+	}
 	if c.err != nil {
 		return c.err
 	}
