Guards of a cold start, each tested alone

Change: a table of guards on one dispatcher, what a new leader finds, the gate, and a follower's demand.

--- /dev/null
+++ b/internal/coordination/activation_guards_test.go
@@ -0,0 +1,308 @@
+package coordination
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sagevale/internal/activation"
+	"sagevale/internal/storage"
+	"sagevale/internal/upgrade"
+)
+
+// What guards a cold start, each guard alone: the scenarios show that troubles are survived, these tests
+// that the guard does its part.
+
+// openActivation is the gate in use.
+var openActivation = upgrade.Record{Gates: map[upgrade.GateName]upgrade.GateState{upgrade.Activation: {Phase: upgrade.GateOpen, Used: true}}}
+
+// coldDispatcher leads three controllers, with a model at zero beside a machine.
+func coldDispatcher(t *testing.T) (*dispatcher, *job, *machine) {
+	t.Helper()
+	s := grownSettings()
+	s.Node, s.Peers = "n0", []Peer{{Name: "n1"}, {Name: "n2"}}
+	s.Tuning.Activation.Classes = []string{coldClass}
+	d := newTestDispatcher(t, s)
+	d.setGates(openActivation)
+	d.activation.resume(time.Now())
+	reply := make(chan Answer, 1)
+	d.handleUser(userMsg{req: UserRequest{Op: OpSubmit, ID: coldModel, Spec: model(coldModel)}, reply: reply})
+	d.commit(nil)
+	if a := <-reply; a.Code != CodeCreated {
+		t.Fatalf("answered %+v", a)
+	}
+	return d, d.jobs.get(coldModel), d.up(7, "cpu", "a", false)
+}
+
+// asked puts demand to the dispatcher; ok is false if it isn't answered yet.
+func (d *dispatcher) asked(generation uint64, wait time.Duration) (reply chan activation.WakeResponse) {
+	reply = make(chan activation.WakeResponse, 1)
+	d.handleWake(wakeMsg{activation.WakeRequest{Model: coldModel, Generation: generation, Wait: wait}, reply})
+	return reply
+}
+
+// started brings a model up on a machine.
+func started(d *dispatcher, j *job, m *machine) *attempt {
+	d.asked(j.managed.record.Generation, 0)
+	d.commit(nil)
+	d.placeRound(time.Now())
+	d.commit(nil)
+	a := j.attempts[0]
+	d.report(m, TaskReport{ID: a.id(), Try: a.try, State: Running})
+	d.commit(nil)
+	return a
+}
+
+func (d *dispatcher) report(m *machine, tasks ...TaskReport) {
+	d.apply(m, &Report{Machine: m.id, Addr: m.addr, Type: m.kind, Zone: m.zone, Session: 1, Seq: m.seq + 1, Token: d.term, Tasks: tasks}, true, time.Now())
+}
+
+// uses reports that a controller uses the model.
+func uses(d *dispatcher, node, session string, serial uint64, usage activation.ModelUsage) {
+	usage.Model = coldModel
+	d.activation.noteUsage(activation.UsageReport{Node: node, Session: session, Serial: serial, Uptime: time.Hour, Models: []activation.ModelUsage{usage}}, time.Now())
+}
+
+func TestGuardsOfAColdStart(t *testing.T) {
+	quiet := activation.ModelUsage{QuietFor: time.Hour}
+	for name, story := range map[string]func(t *testing.T, d *dispatcher, j *job, m *machine){
+		"nothing is told or placed before the wake is durable": func(t *testing.T, d *dispatcher, j *job, _ *machine) {
+			reply := d.asked(0, 0)
+			d.placeRound(time.Now())
+			if len(reply) > 0 || len(j.attempts) > 0 {
+				t.Errorf("%d told, %d placed", len(reply), len(j.attempts))
+			}
+			d.commit(nil)
+			d.placeRound(time.Now())
+			if r := <-reply; r.State != activation.Starting || r.Generation != 1 || len(j.attempts) != 1 {
+				t.Errorf("%+v, %d placed", r, len(j.attempts))
+			}
+		},
+		"a commit that fails tells nobody that it starts": func(t *testing.T, d *dispatcher, _ *job, _ *machine) {
+			reply := d.asked(0, 0)
+			d.commit(storage.ErrDeposed)
+			if r := <-reply; r.Verdict != activation.Undecided {
+				t.Errorf("%+v", r)
+			}
+		},
+		"who doesn't lead for certain decides nothing": func(t *testing.T, d *dispatcher, j *job, _ *machine) {
+			certain := d.role
+			certain.Certain = time.Now().Add(time.Second)
+			d.setRole(certain)
+			if r := d.withinLead(activation.WakeResponse{Verdict: activation.Known, Holds: time.Minute}, time.Now()); r.Holds > time.Second {
+				t.Errorf("holds for %v", r.Holds)
+			}
+			time.Sleep(time.Second)
+			if r := <-d.asked(0, 0); r.Verdict != activation.Undecided || j.managed.record.Generation != 0 {
+				t.Errorf("%+v, %s", r, j.managed.record)
+			}
+			if r := d.withinLead(activation.WakeResponse{Verdict: activation.Known, Holds: time.Minute}, time.Now()); r.Verdict != activation.Undecided {
+				t.Errorf("told after the lead may have ended: %+v", r)
+			}
+			reply := make(chan activation.UsageResponse, 1)
+			d.handleUsage(usageReportMsg{activation.UsageReport{Node: "n1", Serial: 1}, reply})
+			if r := <-reply; r.Verdict != activation.Undecided || len(d.activation.usage) > 0 {
+				t.Errorf("%+v", r)
+			}
+		},
+		"a late start of a model at zero is stopped": func(t *testing.T, d *dispatcher, j *job, m *machine) {
+			d.report(m, TaskReport{ID: TaskID{coldModel, 0}, Try: 3, State: Running})
+			if a := j.attempts[0]; a == nil || !a.stop {
+				t.Errorf("%+v", a)
+			}
+		},
+		"an overrun is durable before the stop": func(t *testing.T, d *dispatcher, j *job, _ *machine) {
+			d.asked(0, 0)
+			d.commit(nil)
+			d.placeRound(time.Now())
+			d.commit(nil)
+			a := j.attempts[0]
+			time.Sleep(d.settings.Tuning.Activation.Policy.StartWithin + time.Second)
+			d.activation.tick(time.Now())
+			d.activation.tick(time.Now())
+			if a.stop {
+				t.Error("stopped before that is durable")
+			}
+			d.commit(nil)
+			if !a.stop {
+				t.Error("not stopped")
+			}
+		},
+		"what is to be stopped isn't routed to": func(t *testing.T, d *dispatcher, j *job, m *machine) {
+			a := started(d, j, m)
+			if r := <-d.asked(1, 0); !r.Ready() {
+				t.Errorf("%+v", r)
+			}
+			d.stop(a, 0)
+			if r := <-d.asked(1, 0); r.Ready() {
+				t.Errorf("routed to what is being stopped: %+v", r)
+			}
+		},
+		"idle services are no arrivals, and a cancelled one depends on no gate": func(t *testing.T, d *dispatcher, j *job, _ *machine) {
+			if d.classes[coldClass] != nil || d.present(coldClass) != 0 || len(d.demands(time.Now())) > 0 {
+				t.Error("room is kept or wanted")
+			}
+			if d.activation.uses() != 1 {
+				t.Errorf("%d uses", d.activation.uses())
+			}
+			d.cancel(userMsg{reply: make(chan Answer, 1)}, j, time.Now())
+			d.commit(nil)
+			if d.activation.uses() != 0 || j.record().Activation != nil {
+				t.Errorf("%d uses", d.activation.uses())
+			}
+		},
+		"a controller with requests under way, or silent, isn't quiet": func(t *testing.T, d *dispatcher, j *job, m *machine) {
+			started(d, j, m)
+			time.Sleep(2 * d.settings.Tuning.Activation.Policy.IdleWindow)
+			for _, last := range []struct {
+				usage  activation.ModelUsage
+				drains bool
+			}{{activation.ModelUsage{InFlight: 1, QuietFor: time.Hour}, false}, {activation.ModelUsage{QuietFor: time.Second}, false}, {quiet, true}} {
+				uses(d, "n0", "a", 1, quiet)
+				uses(d, "n1", "b", 1, quiet)
+				d.activation.tick(time.Now())
+				if j.managed.record.State != activation.Ready {
+					t.Fatal("drains though a controller is silent")
+				}
+				uses(d, "n2", "c", d.activation.nextSerial("n2"), last.usage)
+				d.activation.tick(time.Now())
+				if drains := j.managed.record.State == activation.Draining; drains != last.drains {
+					t.Errorf("%+v: %s", last.usage, j.managed.record)
+				}
+				if !last.drains {
+					d.activation.usage = make(map[string]*controllerUsage)
+				}
+			}
+		},
+		"late copies of usage tell nothing": func(t *testing.T, d *dispatcher, _ *job, _ *machine) {
+			busy := activation.ModelUsage{InFlight: 1}
+			uses(d, "n1", "first", 5, busy)
+			uses(d, "n1", "first", 4, quiet)
+			if d.activation.usage["n1"].models[coldModel].InFlight != 1 {
+				t.Error("an earlier report counts")
+			}
+			uses(d, "n1", "second", 1, busy)
+			uses(d, "n1", "first", 6, quiet)
+			if d.activation.usage["n1"].session != "second" {
+				t.Error("a report of a process that has ended counts")
+			}
+		},
+		"a drain ends once all have said so, or their leases have run out": func(t *testing.T, d *dispatcher, j *job, m *machine) {
+			started(d, j, m)
+			<-d.asked(1, 0)
+			s := j.managed
+			s.record.State, s.record.Drain = activation.Draining, 4
+			acknowledged := activation.ModelUsage{QuietFor: time.Hour, Drained: 4}
+			uses(d, "n0", "a", 1, acknowledged)
+			uses(d, "n1", "b", 1, acknowledged)
+			if d.activation.drained(s, time.Now()) {
+				t.Error("a silent controller may still pass requests on")
+			}
+			for serial, c := range []struct {
+				usage   activation.ModelUsage
+				drained bool
+			}{{activation.ModelUsage{Drained: 3}, false}, {activation.ModelUsage{Drained: 4, InFlight: 1}, false}, {acknowledged, true}} {
+				uses(d, "n2", "c", uint64(serial)+1, c.usage)
+				if d.activation.drained(s, time.Now()) != c.drained {
+					t.Errorf("%+v", c.usage)
+				}
+			}
+			delete(d.activation.usage, "n2")
+			time.Sleep(scale(d.settings.RoutingLease(), driftBound))
+			if !d.activation.drained(s, time.Now()) {
+				t.Error("its lease has run out")
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d, j, m := coldDispatcher(t)
+				story(t, d, j, m)
+			})
+		})
+	}
+}
+
+// nextSerial follows on a controller's last report.
+func (c *activationController) nextSerial(node string) uint64 {
+	if u := c.usage[node]; u != nil {
+		return u.serial + 1
+	}
+	return 1
+}
+
+// What a new leader finds: an attempt beside a record that has no replica is stopped, and what the term
+// before has answered may still be gone by.
+func TestANewLeaderOfColdStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := grownSettings()
+		s.Tuning.Activation.Classes = []string{coldClass}
+		d := newTestDispatcher(t, s)
+		d.activation.gate = openActivation.Gate(upgrade.Activation)
+		spec := model(coldModel)
+		if err := d.load([]storage.Record{
+			record(t, storage.JobKey(coldModel), storage.JobRecord{Tasks: 1, Spec: &spec, Activation: []byte(`{"state":"failed","generation":2}`)}),
+			record(t, storage.PageKey(coldModel, 0), storage.PageRecord{Attempts: []storage.AttemptRecord{{Task: 0, Try: 5, Machine: 1, Session: 1}}}),
+		}); err != nil {
+			t.Fatal(err)
+		}
+		j := d.jobs.get(coldModel)
+		if j.attempts[0].stop {
+			t.Error("stopped before the term's actors run")
+		}
+		d.activation.resume(time.Now())
+		if !j.attempts[0].stop {
+			t.Error("not stopped")
+		}
+		if till := j.managed.routedTill; time.Until(till) < d.settings.RoutingLease() {
+			t.Errorf("routed till %v", till)
+		}
+	})
+}
+
+// A service is at zero only behind the gate: where that is closed it runs always, and the first waits for
+// the gate's use to be durable.
+func TestTheFirstServiceAtZeroWaitsForItsGate(t *testing.T) {
+	for phase, want := range map[upgrade.GatePhase]struct{ accepted, managed bool }{"": {true, false}, upgrade.GateOpen: {false, false}, upgrade.GateWithdrawing: {true, false}} {
+		synctest.Test(t, func(t *testing.T) {
+			s := grownSettings()
+			s.Tuning.Activation.Classes = []string{coldClass}
+			d := newTestDispatcher(t, s)
+			d.gates = upgrade.Record{Gates: map[upgrade.GateName]upgrade.GateState{upgrade.Activation: {Phase: phase}}}
+			d.handleUser(userMsg{req: UserRequest{Op: OpSubmit, ID: coldModel, Spec: model(coldModel)}, reply: make(chan Answer, 1)})
+			j := d.jobs.get(coldModel)
+			if accepted := j != nil; accepted != want.accepted || accepted && (j.managed != nil) != want.managed {
+				t.Errorf("gate %q: %+v", phase, j)
+			}
+			if phase == upgrade.GateOpen && len(d.gateWaiters) != 1 {
+				t.Error("it doesn't wait")
+			}
+		})
+	}
+}
+
+// A leader of an earlier version is sent no demand, and an answer that comes later than it holds is void.
+func TestDemandOfAFollower(t *testing.T) {
+	inColdStart(t, func(sim *simulation) {
+		lead := sim.awaitLeader()
+		follower := sim.followers(lead)[0]
+		req := activation.WakeRequest{Model: coldModel, Generation: 7}
+		if r := follower.node.Wake(sim.t.Context(), req); r.Verdict != activation.Known {
+			t.Errorf("%+v", r)
+		}
+		lead.holdUp.Store(int64(2 * sim.settings.WakeInterval()))
+		if r := follower.node.Wake(sim.t.Context(), req); r.Verdict != activation.Undecided {
+			t.Errorf("passed on late: %+v", r)
+		}
+		lead.holdUp.Store(0)
+		sim.locked(func() {
+			for name, status := range follower.statuses {
+				status.Version = firstWithTokenRanges
+				follower.statuses[name] = status
+			}
+		})
+		if r := follower.node.Wake(sim.t.Context(), req); r.Verdict != activation.Undecided {
+			t.Errorf("sent to an earlier version: %+v", r)
+		}
+	})
+}
--- a/internal/coordination/fake_node_test.go
+++ b/internal/coordination/fake_node_test.go
@@ -146,6 +146,7 @@
 			response := live.LocalWake(ctx, req)
 			o.gate()
 			n.gate()
+			time.Sleep(time.Duration(o.holdUp.Load()))
 			return response, ctx.Err()
 		}
 	}
