--- a/internal/coordination/activation.go
+++ b/internal/coordination/activation.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"sagevale/internal/activation"
 	"sagevale/internal/storage"
 	"sagevale/internal/upgrade"
@@ -162,11 +160,10 @@
 	host     activationHost
 	log      *slog.Logger
 	gate     upgrade.GateState
-	services map[string]*managedService  // by job
-	awake    map[string]*managedService  // those of them that aren't at zero
-	usage    map[string]*controllerUsage // by controller
-	retired  map[string]bool             // sessions of controllers that have ended
-	starts   map[string]*hdrhistogram.Histogram
+	services map[string]*managedService // by job
+	awake    map[string]*managedService // those of them that aren't at zero
+	usage    *activation.Usage
+	starts   activation.StartTimes
 	removing int  // records whose removal isn't durable yet
 	resumed  bool // the term's actors run; attempts that were found before are known by loaded
 }
@@ -175,8 +172,7 @@
 	return &activationController{
 		tuning: &settings.Tuning.Activation, settings: settings, gate: gate, host: host, log: log,
 		services: make(map[string]*managedService), awake: make(map[string]*managedService),
-		usage: make(map[string]*controllerUsage), retired: make(map[string]bool),
-		starts: make(map[string]*hdrhistogram.Histogram),
+		usage: activation.NewUsage(settings.controllers(), usageIntervals*settings.UsageInterval()),
 	}
 }
 
@@ -358,7 +354,7 @@
 	starting := s.record.State == activation.Starting
 	c.apply(s, activation.Answering{Generation: s.record.Generation, Attempt: a.try}, now)
 	if starting && s.record.State == activation.Ready && !s.wokenAt.IsZero() {
-		c.noteStart(s.job.spec.Class, now.Sub(s.wokenAt))
+		c.starts.Note(s.job.spec.Class, now.Sub(s.wokenAt))
 		s.wokenAt = time.Time{}
 	}
 }
--- a/internal/coordination/activation_guards_test.go
+++ b/internal/coordination/activation_guards_test.go
@@ -57,14 +57,7 @@
 	d.apply(m, &Report{Machine: m.id, Addr: m.addr, Type: m.kind, Zone: m.zone, Session: 1, Seq: m.seq + 1, Token: d.term, Tasks: tasks}, true, time.Now())
 }
 
-// uses reports that a controller uses the model.
-func uses(d *dispatcher, node, session string, serial uint64, usage activation.ModelUsage) {
-	usage.Model = coldModel
-	d.activation.noteUsage(activation.UsageReport{Node: node, Session: session, Serial: serial, Uptime: time.Hour, Models: []activation.ModelUsage{usage}}, time.Now())
-}
-
 func TestGuardsOfAColdStart(t *testing.T) {
-	quiet := activation.ModelUsage{QuietFor: time.Hour}
 	for name, story := range map[string]func(t *testing.T, d *dispatcher, j *job, m *machine){
 		"nothing is told or placed before the wake is durable": func(t *testing.T, d *dispatcher, j *job, _ *machine) {
 			reply := d.asked(0, 0)
@@ -101,7 +94,7 @@
 			}
 			reply := make(chan activation.UsageResponse, 1)
 			d.handleUsage(usageReportMsg{activation.UsageReport{Node: "n1", Serial: 1}, reply})
-			if r := <-reply; r.Verdict != activation.Undecided || len(d.activation.usage) > 0 {
+			if r := <-reply; r.Verdict != activation.Undecided {
 				t.Errorf("%+v", r)
 			}
 		},
@@ -151,68 +144,6 @@
 				t.Errorf("%d uses", d.activation.uses())
 			}
 		},
-		"a controller with requests under way, or silent, isn't quiet": func(t *testing.T, d *dispatcher, j *job, m *machine) {
-			started(d, j, m)
-			time.Sleep(2 * d.settings.Tuning.Activation.Policy.IdleWindow)
-			for _, last := range []struct {
-				usage  activation.ModelUsage
-				drains bool
-			}{{activation.ModelUsage{InFlight: 1, QuietFor: time.Hour}, false}, {activation.ModelUsage{QuietFor: time.Second}, false}, {quiet, true}} {
-				uses(d, "n0", "a", 1, quiet)
-				uses(d, "n1", "b", 1, quiet)
-				d.activation.tick(time.Now())
-				if j.managed.record.State != activation.Ready {
-					t.Fatal("drains though a controller is silent")
-				}
-				uses(d, "n2", "c", d.activation.nextSerial("n2"), last.usage)
-				d.activation.tick(time.Now())
-				if drains := j.managed.record.State == activation.Draining; drains != last.drains {
-					t.Errorf("%+v: %s", last.usage, j.managed.record)
-				}
-				if !last.drains {
-					d.activation.usage = make(map[string]*controllerUsage)
-				}
-			}
-		},
-		"late copies of usage tell nothing": func(t *testing.T, d *dispatcher, _ *job, _ *machine) {
-			busy := activation.ModelUsage{InFlight: 1}
-			uses(d, "n1", "first", 5, busy)
-			uses(d, "n1", "first", 4, quiet)
-			if d.activation.usage["n1"].models[coldModel].InFlight != 1 {
-				t.Error("an earlier report counts")
-			}
-			uses(d, "n1", "second", 1, busy)
-			uses(d, "n1", "first", 6, quiet)
-			if d.activation.usage["n1"].session != "second" {
-				t.Error("a report of a process that has ended counts")
-			}
-		},
-		"a drain ends once all have said so, or their leases have run out": func(t *testing.T, d *dispatcher, j *job, m *machine) {
-			started(d, j, m)
-			<-d.asked(1, 0)
-			s := j.managed
-			s.record.State, s.record.Drain = activation.Draining, 4
-			acknowledged := activation.ModelUsage{QuietFor: time.Hour, Drained: 4}
-			uses(d, "n0", "a", 1, acknowledged)
-			uses(d, "n1", "b", 1, acknowledged)
-			if d.activation.drained(s, time.Now()) {
-				t.Error("a silent controller may still pass requests on")
-			}
-			for serial, c := range []struct {
-				usage   activation.ModelUsage
-				drained bool
-			}{{activation.ModelUsage{Drained: 3}, false}, {activation.ModelUsage{Drained: 4, InFlight: 1}, false}, {acknowledged, true}} {
-				uses(d, "n2", "c", uint64(serial)+1, c.usage)
-				if d.activation.drained(s, time.Now()) != c.drained {
-					t.Errorf("%+v", c.usage)
-				}
-			}
-			delete(d.activation.usage, "n2")
-			time.Sleep(scale(d.settings.RoutingLease(), driftBound))
-			if !d.activation.drained(s, time.Now()) {
-				t.Error("its lease has run out")
-			}
-		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -223,14 +154,6 @@
 	}
 }
 
-// nextSerial follows on a controller's last report.
-func (c *activationController) nextSerial(node string) uint64 {
-	if u := c.usage[node]; u != nil {
-		return u.serial + 1
-	}
-	return 1
-}
-
 // What a new leader finds: an attempt beside a record that has no replica is stopped, and what the term
 // before has answered may still be gone by.
 func TestANewLeaderOfColdStarts(t *testing.T) {
--- /dev/null
+++ b/internal/coordination/ask.go
@@ -0,0 +1,36 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+)
+
+// Errors of asking the dispatcher.
+var (
+	// errMailboxFull: too much is asked at once; it was not asked.
+	errMailboxFull = errors.New("too much asked at once")
+	// errSteppingDown: the term has ended; it may have been decided.
+	errSteppingDown = errors.New("leader is stepping down")
+	// errNotInTime: the caller's time ran out; it may yet be decided.
+	errNotInTime = errors.New("not decided in time")
+)
+
+// ask posts a message to the dispatcher and waits for the reply to it. A full mailbox is told at once.
+func ask[Reply any](ctx context.Context, d *dispatcher, message any, reply <-chan Reply) (Reply, error) {
+	var none Reply
+	select {
+	case d.mailbox <- message:
+	case <-d.closed:
+		return none, errSteppingDown
+	default:
+		return none, errMailboxFull
+	}
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-d.closed:
+		return none, errSteppingDown
+	case <-ctx.Done():
+		return none, errNotInTime
+	}
+}
--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -179,26 +180,20 @@
 // user asks the dispatcher on behalf of a user. A full mailbox is answered at
 // once.
 func (d *dispatcher) user(ctx context.Context, req UserRequest) Answer {
-	reply := make(chan Answer, 1)
 	asked := time.Now()
+	busy := Answer{Code: CodeBusy, ID: req.ID, Reason: errMailboxFull.Error(), RetryS: busyRetryS()}
 	if !d.admits(req.Op) {
-		return Answer{Code: CodeBusy, ID: req.ID, Reason: "too much asked at once", RetryS: busyRetryS()}
-	}
-	select {
-	case d.mailbox <- userMsg{req: req, reply: reply}:
-	case <-d.closed:
-		return Unavailable(req.ID, "leader is stepping down")
-	default:
-		return Answer{Code: CodeBusy, ID: req.ID, Reason: "too much asked at once", RetryS: busyRetryS()}
+		return busy
 	}
-	select {
-	case a := <-reply:
-		return d.withValidity(a, asked)
-	case <-d.closed:
-		return Unavailable(req.ID, "leader is stepping down")
-	case <-ctx.Done():
-		return Unavailable(req.ID, "not decided in time")
+	reply := make(chan Answer, 1)
+	a, err := ask(ctx, d, userMsg{req: req, reply: reply}, reply)
+	switch {
+	case errors.Is(err, errMailboxFull):
+		return busy
+	case err != nil:
+		return Unavailable(req.ID, err.Error())
 	}
+	return d.withValidity(a, asked)
 }
 
 // withValidity bounds for how long an answer may be told that isn't final. This
@@ -225,21 +220,11 @@
 // decide on them.
 func (d *dispatcher) heartbeats(ctx context.Context, reports []*Report) []HeartbeatResponse {
 	reply := make(chan []HeartbeatResponse, 1)
-	select {
-	case d.mailbox <- heartbeatsMsg{reports, reply}:
-	case <-d.closed:
-		return nil
-	default:
-		return nil
-	}
-	select {
-	case a := <-reply:
-		return a
-	case <-d.closed:
-		return nil
-	case <-ctx.Done():
+	answers, err := ask(ctx, d, heartbeatsMsg{reports, reply}, reply)
+	if err != nil {
 		return nil
 	}
+	return answers
 }
 
 // run works in rounds: it takes what has arrived, decides once for all of it,
--- a/internal/coordination/wake.go
+++ b/internal/coordination/wake.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"sagevale/internal/activation"
 	"sagevale/internal/storage"
 )
@@ -68,21 +66,11 @@
 func (d *dispatcher) wake(ctx context.Context, req activation.WakeRequest) activation.WakeResponse {
 	reply := make(chan activation.WakeResponse, 1)
 	asked := time.Now()
-	select {
-	case d.mailbox <- wakeMsg{req, reply}:
-	case <-d.closed:
-		return undecided("leader is stepping down")
-	default:
-		return undecided("too much asked at once")
-	}
-	select {
-	case response := <-reply:
-		return d.withinLead(response, asked)
-	case <-d.closed:
-		return undecided("leader is stepping down")
-	case <-ctx.Done():
-		return undecided("not decided in time")
+	response, err := ask(ctx, d, wakeMsg{req, reply}, reply)
+	if err != nil {
+		return undecided(err.Error())
 	}
+	return d.withinLead(response, asked)
 }
 
 // withinLead bounds for how long an answer may be gone by: until the lead may have ended. This process
@@ -202,39 +190,12 @@
 			s.routedTill = now.Add(scale(c.settings.RoutingLease(), driftBound))
 		}
 	case activation.Starting:
-		response.Expected = c.expectedStart(s, now)
+		if !s.wokenAt.IsZero() {
+			response.Expected = c.starts.Expected(s.job.spec.Class, now.Sub(s.wokenAt))
+		}
 	case activation.Failed:
 		response.Expected = s.record.Rests(now)
 	case activation.Idle, activation.Draining, activation.Stopping:
 	}
 	return response
 }
-
-const (
-	// longestStart and startDigits are the range and the precision of the starts measured.
-	longestStart = time.Hour
-	startDigits  = 2
-	// expectedPercentile of the starts measured is what users are told to wait for.
-	expectedPercentile = 90
-)
-
-// noteStart takes in how long a wake took until its model answered.
-func (c *activationController) noteStart(class string, took time.Duration) {
-	h := c.starts[class]
-	if h == nil {
-		h = hdrhistogram.New(1, longestStart.Milliseconds(), startDigits)
-		c.starts[class] = h
-	}
-	// Values beyond the range are told by its end.
-	_ = h.RecordValue(min(took, longestStart).Milliseconds())
-}
-
-// expectedStart is how long a start may still take, by those measured in this term; 0: none was.
-func (c *activationController) expectedStart(s *managedService, now time.Time) time.Duration {
-	h := c.starts[s.job.spec.Class]
-	if h == nil || s.wokenAt.IsZero() {
-		return 0
-	}
-	whole := time.Duration(h.ValueAtPercentile(expectedPercentile)) * time.Millisecond
-	return max(0, whole-now.Sub(s.wokenAt))
-}
