Cold starts with five controllers, histories against a specification, leases in the model

Cause: the proof had three controllers alone, no history as clients see it, and no drain that outlasts a silent node. Change: pairs of troubles are drawn for three and five controllers; requests that were passed on go through porcupine against a sequential specification, which rejects an earlier generation after a later one; the lifecycle's model has leases, and finds a new leader that counts on none of the term before.

--- a/internal/activation/model_test.go
+++ b/internal/activation/model_test.go
@@ -52,6 +52,7 @@
 	view     Record // the leader's, with the revision that it was read at
 	viewed   int
 	bookedAt time.Time // of the leader's replica
+	routed   time.Time // until when some node may go by what it has read, as the leader knows it
 	attempts uint64    // numbers that were used
 	late     []write
 	live     map[instance]bool
@@ -62,6 +63,9 @@
 	observed []Event                 // all that was ever seen, which may be told again late
 	starts   map[uint64]int          // replicas that answered, of each generation
 	faults   []string
+	// unknownLease is for how long a new leader counts on what nodes were told before it.
+	unknownLease time.Duration
+	strideMS     int // the longest time between two steps
 	// transition is Apply; the tests of the model put in ones that are wrong.
 	transition func(Record, Event, *Policy, time.Time) (Record, Action)
 }
@@ -71,7 +75,7 @@
 		now:    time.UnixMilli(1e12),
 		policy: Policy{IdleWindow: 10 * time.Second, StartWithin: 20 * time.Second, StableAfter: 4 * time.Second, Attempts: 3, Backoff: time.Second, Cooldown: 30 * time.Second, DrainTimeout: 15 * time.Second},
 		live:   map[instance]bool{}, gone: map[uint64]bool{}, acks: map[uint64]map[int]bool{}, starts: map[uint64]int{},
-		transition: Record.Apply,
+		transition: Record.Apply, unknownLease: nodeLease, strideMS: 4000,
 	}
 	for range 3 {
 		w.nodes = append(w.nodes, &node{})
@@ -87,7 +91,7 @@
 // lead begins a term: the leader reads what is stored and goes on with what is pending.
 func (w *world) lead() {
 	w.term++
-	w.viewed, w.bookedAt = w.revision, w.now
+	w.viewed, w.bookedAt, w.routed = w.revision, w.now, w.now.Add(w.unknownLease)
 	var action Action
 	w.view, action = w.record.Restore(w.placed, &w.policy, w.now)
 	if !w.view.SameStored(w.record) {
@@ -253,6 +257,21 @@
 	}
 }
 
+// tell has the leader answer a node, if it holds what is stored.
+func (w *world) tell(n *node) {
+	if w.viewed == w.revision {
+		n.readRecord(w.record, w.now)
+		w.routed = w.now.Add(nodeLease)
+	}
+}
+
+// outlast ends a drain whose nodes are silent, once what they were told has run out.
+func (w *world) outlast() {
+	if !w.now.Before(w.routed) {
+		w.happen(Drained{w.view.Drain}, answered, false)
+	}
+}
+
 // acknowledge has a node stop passing requests on, and say so.
 func (w *world) acknowledge(i int) {
 	n := w.nodes[i]
@@ -278,13 +297,13 @@
 	if choose(6) == 0 {
 		fate = choose(fates)
 	}
-	w.now = w.now.Add(time.Duration(choose(4000)) * time.Millisecond)
+	w.now = w.now.Add(time.Duration(choose(w.strideMS)) * time.Millisecond)
 	i := choose(len(w.nodes))
 	switch choose(14) {
 	case 0, 1:
 		w.request(w.nodes[i], fate)
 	case 2:
-		w.nodes[i].readRecord(w.record, w.now)
+		w.tell(w.nodes[i])
 	case 3:
 		w.book(fate)
 	case 4, 5:
@@ -300,6 +319,10 @@
 	case 9:
 		w.happen(Quiet{w.view.Generation, w.now.Add(-w.policy.IdleWindow)}, fate, false)
 	case 10:
+		if choose(4) == 0 {
+			w.outlast()
+			return
+		}
 		w.acknowledge(i)
 	case 11:
 		w.happen(Tick{w.now.Sub(w.bookedAt)}, fate, false)
@@ -376,9 +399,14 @@
 
 // history plays a long history, with the transitions changed.
 func history(seed uint64, change func(Record, Event, *Policy, time.Time) (Record, Action)) *world {
+	return historyOf(seed, func(w *world) { w.transition = change })
+}
+
+// historyOf plays a long history in a world that is changed.
+func historyOf(seed uint64, change func(w *world)) *world {
 	random := rand.New(rand.NewPCG(seed, 2))
 	w := newWorld()
-	w.transition = change
+	change(w)
 	for range 4000 {
 		if w.step(random.IntN); len(w.faults) > 0 {
 			break
@@ -432,9 +460,16 @@
 			t.Errorf("not found: %s", name)
 		}
 	}
+	forgetful := 0
+	for seed := range uint64(60) {
+		forgetful += len(historyOf(seed, func(w *world) { w.unknownLease, w.strideMS = 0, 500 }).faults)
+	}
+	if forgetful == 0 {
+		t.Error("not found: a new leader counts on no lease of the term before")
+	}
 	wakes := uint64(0)
-	for seed := range uint64(20) {
-		w := history(seed, Record.Apply)
+	for seed := range uint64(60) {
+		w := historyOf(seed, func(w *world) { w.strideMS = []int{4000, 500}[seed%2] })
 		if len(w.faults) > 0 {
 			t.Errorf("seed %d: %s", seed, w.faults[0])
 		}
--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -154,3 +154,23 @@
 		}
 	}
 }
+
+// BenchmarkIdleServices is one tick of a leader's activation controller beside so many services at
+// zero: they cost memory alone.
+func BenchmarkIdleServices(b *testing.B) {
+	for _, services := range []int{0, 1000, 100_000} {
+		b.Run(fmt.Sprint(services), func(b *testing.B) {
+			s := grownSettings()
+			s.Tuning.Activation.Classes = []string{coldClass}
+			d := newTestDispatcher(b, s)
+			for i := range services {
+				j := newJob(model(fmt.Sprintf("%06d", i)), time.Now())
+				d.jobs.insert(j)
+				d.activation.begin(j, time.Now())
+			}
+			for b.Loop() {
+				d.activation.tick(time.Now())
+			}
+		})
+	}
+}
--- a/internal/coordination/cold_start_test.go
+++ b/internal/coordination/cold_start_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/anishathalye/porcupine"
+
 	"sagevale/internal/activation"
 	"sagevale/internal/activator"
 	"sagevale/internal/storage"
@@ -69,13 +71,19 @@
 
 // inColdStart runs a scenario with a model at zero beside a service that runs.
 func inColdStart(t *testing.T, story func(sim *simulation)) {
+	t.Helper()
+	inColdStartOf(t, threeControllers, story)
+}
+
+// inColdStartOf does so with controllers in these zones.
+func inColdStartOf(t *testing.T, controllers []string, story func(sim *simulation)) {
 	t.Helper()
 	tune := func(tuning *Tuning) {
 		tuning.Activation.Classes = []string{coldClass}
 		tuning.Activation.Policy.IdleWindow = coldIdle
 		tuning.Activation.Hold = coldHold
 	}
-	inSimulationTuned(t, func(*Settings) {}, tune, func(sim *simulation) {
+	inSimulationOf(t, controllers, func(*Settings) {}, tune, func(sim *simulation) {
 		sim.awaitActive(upgrade.Current, time.Minute)
 		sim.submit(service("000001", 2))
 		sim.runs("000001", 2)
@@ -90,6 +98,7 @@
 
 // client asks for the model at one node until it answers, and again.
 type client struct {
+	id    int
 	node  *fakeNode
 	ready atomic.Bool // what the latest answer said
 	rests atomic.Bool // it asks for nothing
@@ -100,7 +109,7 @@
 func (sim *simulation) demand() []*client {
 	var clients []*client
 	for i, n := range sim.nodes {
-		c := &client{node: n}
+		c := &client{id: i, node: n}
 		clients = append(clients, c)
 		go func() {
 			time.Sleep(time.Duration(i) * 300 * time.Microsecond)
@@ -122,10 +131,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), clientPatience)
 	defer cancel()
 	tracker := c.node.tracker.Load()
+	called := time.Now()
 	decision := tracker.Acquire(ctx, coldModel)
 	c.ready.Store(decision.Outcome == activator.Granted)
 	if decision.Outcome == activator.Granted {
 		sim.passOn(c.node, decision.Response.Machine)
+		sim.noteServed(c.id, called, decision.Response.Generation)
 		tracker.Release(coldModel)
 	}
 	if decision.Response.Verdict != activation.Known || decision.Response.Reason == runsAlways {
@@ -366,6 +377,49 @@
 	})
 }
 
+// noteServed adds to the history of requests that were passed on.
+func (sim *simulation) noteServed(client int, called time.Time, generation uint64) {
+	sim.locked(func() {
+		sim.served = append(sim.served, porcupine.Operation{
+			ClientId: client, Call: called.UnixNano(), Return: time.Now().UnixNano(), Output: generation,
+		})
+	})
+}
+
+// servedModel is the sequential specification of requests that are passed on: each is served by the
+// generation of the one before, or by a later one.
+var servedModel = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, _, output any) (bool, any) {
+		before, served := state.(uint64), output.(uint64)
+		return served >= before, served
+	},
+}
+
+// checkServed checks the history of requests against its specification.
+func (sim *simulation) checkServed() {
+	sim.t.Helper()
+	var served []porcupine.Operation
+	sim.locked(func() { served = append(served, sim.served...) })
+	if !porcupine.CheckOperations(servedModel, served) {
+		sim.t.Errorf("%d requests are served in no order that their clients could have seen", len(served))
+	}
+}
+
+// A history in which an earlier generation serves after a later one has answered is rejected.
+func TestTheSpecificationRejectsAnEarlierGeneration(t *testing.T) {
+	operation := func(call, end int64, generation uint64) porcupine.Operation {
+		return porcupine.Operation{Call: call, Return: end, Output: generation}
+	}
+	beside := []porcupine.Operation{operation(0, 10, 2), operation(5, 15, 1), operation(20, 30, 2)}
+	if !porcupine.CheckOperations(servedModel, beside) {
+		t.Error("requests beside each other may be served in either order")
+	}
+	if porcupine.CheckOperations(servedModel, append(beside, operation(31, 40, 1))) {
+		t.Error("a request served by an earlier generation isn't found")
+	}
+}
+
 // judge counts the starts of so many wakes by the workers' own account.
 func (sim *simulation) judge(wakes ...uint64) {
 	sim.t.Helper()
@@ -376,6 +430,7 @@
 		}
 	}
 	generation := sim.awaitLeader().node.Wake(sim.t.Context(), activation.WakeRequest{Model: coldModel}).Generation
+	sim.checkServed()
 	if sim.lossy.Load() {
 		return
 	}
@@ -396,6 +451,14 @@
 	}
 }
 
+// drawn is three controllers or five, in turn.
+func drawn(seed uint64) []string {
+	if seed%2 == 0 {
+		return threeControllers
+	}
+	return fiveControllers
+}
+
 // The same with two troubles at once, drawn by seed.
 func TestOneStartPerWakeWithTwoTroubles(t *testing.T) {
 	moments := coldMoments()
@@ -404,7 +467,7 @@
 		m, a, b := moments[random.IntN(len(moments))], coldTroubles[random.IntN(len(coldTroubles))], coldTroubles[random.IntN(len(coldTroubles))]
 		t.Run(fmt.Sprintf("%d/%s/%s/%s", seed, m.name, a.name, b.name), func(t *testing.T) {
 			t.Parallel()
-			inColdStart(t, func(sim *simulation) { sim.coldStart(m, a, b) })
+			inColdStartOf(t, drawn(seed), func(sim *simulation) { sim.coldStart(m, a, b) })
 		})
 	}
 }
@@ -525,7 +588,7 @@
 		after := time.Duration(random.Int64N(int64(8 * time.Second)))
 		t.Run(fmt.Sprintf("%d/%s/%s/%s", seed, m.name, a.name, b.name), func(t *testing.T) {
 			t.Parallel()
-			inColdStart(t, func(sim *simulation) { sim.coldDrain(m, after, a, b) })
+			inColdStartOf(t, drawn(seed), func(sim *simulation) { sim.coldDrain(m, after, a, b) })
 		})
 	}
 }
--- a/internal/coordination/simulation_test.go
+++ b/internal/coordination/simulation_test.go
@@ -13,6 +13,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/anishathalye/porcupine"
+
 	"sagevale/internal/activation"
 	"sagevale/internal/storage"
 	"sagevale/internal/storage/storagetest"
@@ -42,6 +44,7 @@
 	starts       int
 	launches     map[string][]launch      // starts that a worker took on, by job
 	wakes        []activation.WakeRequest // that nodes sent each other, to come again late
+	served       []porcupine.Operation    // requests to models that were passed on
 	usages       []activation.UsageReport // likewise
 	failing      map[string]time.Duration // jobs whose tasks fail after so long on any machine
 	apart        atomic.Pointer[string]   // a zone that is cut off from everything
@@ -94,8 +97,20 @@
 	inSimulationTuned(t, change, func(*Tuning) {}, story)
 }
 
+// threeControllers and fiveControllers are the zones of a deployment's controllers.
+var (
+	threeControllers = []string{"a", "b", "a"}
+	fiveControllers  = []string{"a", "b", "a", "b", "a"}
+)
+
 // inSimulationTuned runs a scenario with the operators' settings changed too.
 func inSimulationTuned(t *testing.T, change func(*Settings), tune func(*Tuning), story func(sim *simulation)) {
+	t.Helper()
+	inSimulationOf(t, threeControllers, change, tune, story)
+}
+
+// inSimulationOf runs a scenario with controllers in these zones.
+func inSimulationOf(t *testing.T, controllers []string, change func(*Settings), tune func(*Tuning), story func(sim *simulation)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		sim := &simulation{
@@ -116,7 +131,7 @@
 		tune(&sim.settings.Tuning)
 		sim.state = storagetest.NewService()
 		sim.cloud = &fakeCloud{sim: sim, rentals: make(map[string][]int)}
-		for i, zone := range []string{"a", "b", "a"} {
+		for i, zone := range controllers {
 			sim.nodes = append(sim.nodes, &fakeNode{sim: sim, name: fmt.Sprintf("n%d", i), zone: zone})
 		}
 		for _, n := range sim.nodes {
