Services accepted before the gate opened go to zero as well; causes in the log; status tested

Cause: services of a listed class that were accepted while the gate was closed ran for good: those of a fleet's first second, of a fleet that lists a class later, and all after a withdrawal that was taken back. Change: once the gate is in use they get a record, ready if their replica answers; the log names each move's cause. Measured (simulated): after a rollback and its end the model goes to zero; the tests of the status read it at both ends.

--- a/internal/activation/transition.go
+++ b/internal/activation/transition.go
@@ -227,3 +227,27 @@
 	}
 	return fmt.Sprintf("%s, generation %d, attempt %d", r.State, r.Generation, r.Replica)
 }
+
+// Cause names an event for operators.
+func Cause(e Event) string {
+	switch e := e.(type) {
+	case Demand:
+		return "demand"
+	case Booked:
+		return "room is booked"
+	case Answering:
+		return "it answers"
+	case Gone:
+		if e.Failed {
+			return "its replica failed"
+		}
+		return "its replica is gone"
+	case Quiet:
+		return "no requests"
+	case Drained:
+		return "no controller passes requests on"
+	case Tick:
+		return "time"
+	}
+	return "unknown"
+}
--- a/internal/coordination/activation.go
+++ b/internal/coordination/activation.go
@@ -138,6 +138,8 @@
 	orderStops(j *job)
 	// placeSoon has placement look at the jobs.
 	placeSoon()
+	// mayUse tells whether something new may depend on a gate, and asks for its use.
+	mayUse(name upgrade.GateName) bool
 }
 
 // recordJob is part of activationHost.
@@ -164,14 +166,17 @@
 	awake    map[string]*managedService // those of them that aren't at zero
 	usage    *activation.Usage
 	starts   activation.StartTimes
-	removing int  // records whose removal isn't durable yet
-	resumed  bool // the term's actors run; attempts that were found before are known by loaded
+	// postponed are services that the operators want at zero and that have no record: they were accepted
+	// while the gate was closed, and run.
+	postponed map[string]*job
+	removing  int  // records whose removal isn't durable yet
+	resumed   bool // the term's actors run; attempts that were found before are known by loaded
 }
 
 func newActivationController(settings *Settings, gate upgrade.GateState, host activationHost, log *slog.Logger) *activationController {
 	return &activationController{
 		tuning: &settings.Tuning.Activation, settings: settings, gate: gate, host: host, log: log,
-		services: make(map[string]*managedService), awake: make(map[string]*managedService),
+		services: make(map[string]*managedService), postponed: make(map[string]*job), awake: make(map[string]*managedService),
 		usage: activation.NewUsage(settings.controllers(), usageIntervals*settings.UsageInterval()),
 	}
 }
@@ -190,8 +195,39 @@
 	c.hold(&managedService{job: j, record: activation.Record{State: activation.Idle, SinceMS: now.UnixMilli()}})
 }
 
+// postpone notes that a service would be at zero, if lifecycles were in force. It runs.
+func (c *activationController) postpone(j *job) {
+	if c.applies(&j.spec) {
+		c.postponed[j.spec.ID] = j
+	}
+}
+
+// takeOver gives records to services that have run without, once the gate is in use: from here on they
+// go to zero as any other.
+func (c *activationController) takeOver(now time.Time) {
+	if len(c.postponed) == 0 || c.gate.Phase != upgrade.GateOpen || !c.host.mayUse(upgrade.Activation) {
+		return
+	}
+	for _, j := range c.postponed {
+		if !j.known {
+			continue
+		}
+		next := activation.Record{State: activation.Starting, Generation: 1, SinceMS: now.UnixMilli()}
+		for _, a := range j.attempts {
+			next.Replica = a.try
+			if a.answers() {
+				next.State = activation.Ready
+			}
+		}
+		s := &managedService{job: j, routedTill: now.Add(scale(c.settings.RoutingLease(), driftBound))}
+		c.hold(s)
+		c.set(s, next, "its class is listed")
+	}
+}
+
 func (c *activationController) hold(s *managedService) {
 	s.job.managed = s
+	delete(c.postponed, s.job.spec.ID)
 	c.services[s.job.spec.ID] = s
 }
 
@@ -218,7 +254,7 @@
 		}
 		next, _ := s.record.Restore(replica, &c.tuning.Policy, now)
 		s.routedTill = now.Add(scale(c.settings.RoutingLease(), driftBound))
-		c.set(s, next)
+		c.set(s, next, "another leader")
 	}
 	c.bringUpUnlisted()
 }
@@ -252,6 +288,7 @@
 func (c *activationController) bringUp(s *managedService) {
 	c.log.Info("activation", "job", s.job.spec.ID, "step", "runs always from now on", "generation", s.record.Generation)
 	c.end(s.job)
+	c.postpone(s.job)
 	c.removing++
 	c.host.recordJob(s.job, func(err error) {
 		if err == nil {
@@ -264,6 +301,7 @@
 // end lets go of a service, which is cancelled or runs always from now on.
 func (c *activationController) end(j *job) {
 	delete(c.services, j.spec.ID)
+	delete(c.postponed, j.spec.ID)
 	delete(c.awake, j.spec.ID)
 	if s := j.managed; s != nil {
 		for _, w := range s.watchers {
@@ -279,26 +317,26 @@
 		return
 	}
 	next, _ := s.record.Apply(e, &c.tuning.Policy, now)
-	c.move(s, next, now)
+	c.move(s, next, activation.Cause(e), now)
 }
 
 // move takes a record as it was moved, and goes on once that is durable.
-func (c *activationController) move(s *managedService, next activation.Record, now time.Time) {
-	if !c.set(s, next) {
+func (c *activationController) move(s *managedService, next activation.Record, cause string, now time.Time) {
+	if !c.set(s, next, cause) {
 		c.act(s, now)
 	}
 }
 
 // set takes a record as it was moved, and has it written if it is stored otherwise now. It tells whether it
 // is; then the service goes on once that is durable.
-func (c *activationController) set(s *managedService, next activation.Record) (writes bool) {
+func (c *activationController) set(s *managedService, next activation.Record, cause string) (writes bool) {
 	before := s.record
 	s.record = next
 	c.noteAwake(s)
 	if next.SameStored(before) {
 		return false
 	}
-	c.log.Info("activation", "job", s.job.spec.ID, "class", s.job.spec.Class, "state", next.State, "generation", next.Generation, "failures", next.Failures, "before", before.State)
+	c.log.Info("activation", "job", s.job.spec.ID, "class", s.job.spec.Class, "state", next.State, "generation", next.Generation, "failures", next.Failures, "before", before.State, "cause", cause)
 	s.unwritten++
 	c.host.recordJob(s.job, func(err error) {
 		s.unwritten--
@@ -368,6 +406,7 @@
 
 // tick does what the clock asks for. Idle services cost nothing.
 func (c *activationController) tick(now time.Time) {
+	c.takeOver(now)
 	for _, s := range c.awake {
 		var booked time.Duration
 		if a := s.replica(); a != nil {
--- a/internal/coordination/cold_start_test.go
+++ b/internal/coordination/cold_start_test.go
@@ -485,15 +485,31 @@
 	sim.eventually("the model is at zero", 3*time.Minute, func() bool { return len(sim.running(coldModel)) == 0 })
 }
 
+// modelStatus is the model's, as operators read it.
+func (sim *simulation) modelStatus() ServiceStatus {
+	sim.t.Helper()
+	status, err := ReadActivationStatus(sim.t.Context(), &storagetest.Client{Service: sim.state}, &sim.settings)
+	if err != nil || !status.Gate.Used || len(status.Services) != 1 || status.Services[0].ID != coldModel {
+		sim.t.Fatalf("status %+v %v", status, err)
+	}
+	return status.Services[0]
+}
+
 // A model that nobody asks for goes back to zero, and comes back once, again and again.
 func TestBackToZeroAndBack(t *testing.T) {
 	inColdStart(t, func(sim *simulation) {
 		clients := sim.demand()
 		for range 3 {
 			sim.awaitReady(clients)
+			if s := sim.modelStatus(); s.Record.State != activation.Ready || s.Record.Replica == activation.NoReplica || s.Why == "" {
+				t.Errorf("status %+v", s)
+			}
 			rest(clients, true)
 			sim.awaitZero()
 			time.Sleep(sim.settings.Lease)
+			if s := sim.modelStatus(); s.Record.State != activation.Idle || s.Record.Replica != activation.NoReplica || s.Why != "" {
+				t.Errorf("status %+v", s)
+			}
 			rest(clients, false)
 		}
 		sim.awaitReady(clients)
@@ -631,8 +647,9 @@
 		t.Run(name, func(t *testing.T) {
 			inColdStart(t, func(sim *simulation) {
 				back := sim.followers(sim.awaitLeader())[0]
+				var clients []*client
 				if awake {
-					sim.demand()
+					clients = sim.demand()
 					time.Sleep(20 * time.Millisecond)
 				}
 				back.replace(upgrade.Version5)
@@ -651,6 +668,9 @@
 				if n := len(sim.launchesOf(coldModel)); n != 1 {
 					t.Errorf("%d starts", n)
 				}
+				rest(clients, true)
+				sim.allAt(upgrade.Current)
+				sim.awaitZero() // its class is listed still
 			})
 		})
 	}
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -24,6 +24,9 @@
 		if j.tasks != nil {
 			d.arrival(j)
 		}
+		if j.phase == storage.Open && j.managed == nil {
+			d.activation.postpone(j)
+		}
 		if j.phase == storage.Open || len(j.attempts) > 0 {
 			d.jobs.hold(j)
 			// Its pages may have become durable and its own record not.
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -134,6 +134,9 @@
 		if d.activation.applies(&spec) && d.mayUse(upgrade.Activation) {
 			d.activation.begin(j, now)
 		}
+		if j.managed == nil {
+			d.activation.postpone(j)
+		}
 		d.arrival(j)
 		d.markJob(j)
 		d.onJobCommit(j, func(error) {
