--- a/internal/protocol/activation_properties.go
+++ b/internal/protocol/activation_properties.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"slices"
 	"strings"
 	"time"
@@ -36,7 +37,8 @@
 )
 
 // activationProperties adds the properties on services that may be at zero to those known.
-func (c *checker) activationProperties(known map[string]func(string, string), tuning *coordination.ActivationTuning) {
+func (c *checker) activationProperties(known map[string]func(string, string), s *coordination.Settings) {
+	tuning := &s.Tuning.Activation
 	policy := &tuning.Policy
 	spans := map[string]*time.Duration{
 		activationIdle: &policy.IdleWindow, activationDrain: &policy.DrainTimeout, activationStart: &policy.StartWithin,
@@ -47,7 +49,7 @@
 		known[name] = func(key, value string) { *span = c.parseSpan(key, value) }
 	}
 	known[activationClasses] = func(key, value string) { tuning.Classes = c.parseNames(key, value) }
-	known[activationListen] = func(key, value string) { tuning.Listen = c.addr(key, value) }
+	known[activationListen] = func(key, value string) { tuning.Listen = c.parseListen(key, value, s.Listen) }
 	known[activationTarget] = func(key, value string) { tuning.Target = c.parseTargetTemplate(key, value) }
 	known[activationAttempts] = func(key, value string) { policy.Attempts = c.parseCount(key, value, 1, mostAttempts) }
 	known[activationHeld] = func(key, value string) { tuning.Held = c.parseCount(key, value, 1, mostHeld) }
@@ -64,6 +66,14 @@
 	return d
 }
 
+// parseListen reads an address; one of a port alone is on the host of another.
+func (c *checker) parseListen(key, value, other string) string {
+	if host, _, err := net.SplitHostPort(other); err == nil && strings.HasPrefix(value, ":") {
+		value = host + value
+	}
+	return c.addr(key, value)
+}
+
 // parseNames reads names that are separated by commas.
 func (c *checker) parseNames(key, value string) []string {
 	var names []string
@@ -111,6 +121,8 @@
 		c.fail(activationHeld, fmt.Sprintf("must not be above %d, three quarters of the connections that sockets allows for models", s.MostHeld()))
 	case tuning.Listen != "" && len(tuning.Classes) == 0:
 		c.fail(activationListen, "needs "+activationClasses)
+	case tuning.Listen == "" && len(tuning.Classes) > 0:
+		c.fail(activationClasses, "needs "+activationListen+": without it no demand comes, and they would stay at zero")
 	case tuning.Listen != "" && (tuning.Listen == s.Listen || tuning.Listen == s.PeerListen):
 		c.fail(activationListen, "is in use: it is the address of serve_on or peer_listen")
 	}
--- a/internal/protocol/activation_properties_test.go
+++ b/internal/protocol/activation_properties_test.go
@@ -11,7 +11,8 @@
 
 func TestActivationProperties(t *testing.T) {
 	for file, fails := range map[string]string{
-		"activation.classes = small\nactivation.listen = 10.0.0.1:8082\nactivation.target = {host}:9000/{model}\nactivation.idle.window = 5m\nactivation.hold = 10s\n": "",
+		"activation.classes = small\nactivation.listen = :8082\nactivation.target = {host}:9000/{model}\nactivation.idle.window = 5m\nactivation.hold = 10s\n": "",
+		"activation.classes = small\n":                                    "p: activation.classes: needs activation.listen",
 		"activation.classes = small, small\n":                             "p: activation.classes: must be names, each once",
 		"activation.classes =\n":                                          "p: activation.classes: must be names",
 		"activation.classes = unheard-of\n":                               `p: activation.classes: class "unheard-of" has no objective`,
--- a/internal/protocol/properties.go
+++ b/internal/protocol/properties.go
@@ -39,7 +39,7 @@
 	c.upgradeProperties(known, &t.Upgrade)
 	c.archiveProperties(known, &t.Archive)
 	c.fencingProperties(known, &t.Fencing)
-	c.activationProperties(known, &t.Activation)
+	c.activationProperties(known, s)
 	known[deprecatedHeadroomProperty] = known[headroomProperty]
 	if _, old := p.Get(deprecatedHeadroomProperty); old {
 		s.Warnings = append(s.Warnings, fmt.Sprintf("%s: %s: is deprecated, use %s", file, deprecatedHeadroomProperty, headroomProperty))
