A model's server that refuses connections is tried again while its request may be held

Cause: a task runs before its server listens, and a replica may have moved since the leader's word: such requests were told 503 at once though nothing had been sent. Change: the edge connects before it passes a request on; refused, it gives the request's place back, pauses, and asks where the model is now, until the request's deadline.

--- a/internal/activator/activator_test.go
+++ b/internal/activator/activator_test.go
@@ -293,3 +293,30 @@
 		})
 	}
 }
+
+// A model's server that doesn't listen yet, or has moved, is tried again while the request may be held.
+func TestAServerThatListensLater(t *testing.T) {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := free.Addr().String()
+	free.Close()
+	_, port, _ := net.SplitHostPort(address)
+	var served atomic.Int64
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) })}
+	defer server.Close()
+	time.AfterFunc(300*time.Millisecond, func() {
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = server.Serve(l)
+		}
+	})
+	tracker := startTracker(t.Context(), &fakeLeader{response: known(activation.Ready, 1, address)}, Limits{Held: 9, Concurrent: 9, Hold: 10 * time.Second})
+	modelOf := func(element string) (string, bool) { return element, true }
+	edge := httptest.NewServer(NewHandler(tracker, Config{Target: "{host}:" + port, Body: 100, ModelOf: modelOf}, slog.New(slog.DiscardHandler)))
+	defer edge.Close()
+	response, err := http.Post(edge.URL+"/models/m/x", "text/plain", strings.NewReader("hi"))
+	if err != nil || response.StatusCode != http.StatusOK || served.Load() != 1 {
+		t.Errorf("%+v %v, served %d times", response, err, served.Load())
+	}
+}
--- a/internal/activator/handler.go
+++ b/internal/activator/handler.go
@@ -55,25 +55,40 @@
 	log     *slog.Logger
 }
 
-// targetKey is the context's key for the URL that a request goes to.
-type targetKey struct{}
+// connectionKey is the context's key for the connection that a request goes over.
+type connectionKey struct{}
 
-// dialTimeout is the longest that a connection to a model's server may take.
-const dialTimeout = 2 * time.Second
+// connection is an open connection to a model's server.
+type connection struct {
+	net.Conn
+	target *url.URL
+}
+
+const (
+	// dialTimeout is the longest that a connection to a model's server may take.
+	dialTimeout = 2 * time.Second
+	// firstRedial is the pause before a server that refused a connection is tried again, doubled
+	// after each up to longestRedial.
+	firstRedial   = 50 * time.Millisecond
+	longestRedial = time.Second
+)
+
+// errNotConnected says that a request has no connection: nothing was sent.
+var errNotConnected = errors.New("no connection to the model's server")
 
 // NewHandler makes a handler over a tracker that runs.
 func NewHandler(tracker *Tracker, config Config, log *slog.Logger) *Handler {
 	h := &Handler{tracker: tracker, config: config, log: log, mux: http.NewServeMux()}
 	h.proxy = &httputil.ReverseProxy{
 		Rewrite: func(r *httputil.ProxyRequest) {
-			if target, ok := r.In.Context().Value(targetKey{}).(*url.URL); ok {
-				r.SetURL(target)
+			if c, ok := r.In.Context().Value(connectionKey{}).(*connection); ok {
+				r.SetURL(c.target)
 				r.SetXForwarded()
 			}
 		},
 		// A connection for each request: on one that was kept, a request may be sent a second time
 		// after the server has seen it.
-		Transport:    &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext},
+		Transport:    &http.Transport{DisableKeepAlives: true, DialContext: connectionOf},
 		ErrorHandler: h.notPassedOn,
 		ErrorLog:     slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
@@ -81,6 +96,14 @@
 	return h
 }
 
+// connectionOf hands a request the connection that was made for it.
+func connectionOf(ctx context.Context, _, _ string) (net.Conn, error) {
+	if c, ok := ctx.Value(connectionKey{}).(*connection); ok {
+		return c.Conn, nil
+	}
+	return nil, errNotConnected
+}
+
 // ServeHTTP answers one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
 
@@ -96,11 +119,12 @@
 		return
 	}
 	r.Body = http.MaxBytesReader(w, r.Body, h.config.Body)
-	decision := h.tracker.Acquire(r.Context(), model)
+	c, decision := h.connect(r.Context(), model, element)
 	switch decision.Outcome {
 	case Granted:
 		defer h.tracker.Release(model)
-		h.passOn(w, r, decision.Response.Machine, element)
+		defer c.Close()
+		h.passOn(w, r, c)
 	case Unknown:
 		refuse(w, http.StatusNotFound, decision.Reason, 0)
 	case TimedOut:
@@ -110,15 +134,50 @@
 	}
 }
 
-// passOn passes a request on, once.
-func (h *Handler) passOn(w http.ResponseWriter, r *http.Request, machine, element string) {
+// connect makes a connection for a request, once the model answers: a server may run and not listen
+// yet, or have gone to another machine since. Nothing is sent over it.
+func (h *Handler) connect(ctx context.Context, model, element string) (*connection, Decision) {
+	deadline := h.tracker.Deadline()
+	for pause := firstRedial; ; pause = min(2*pause, longestRedial) {
+		decision := h.tracker.AcquireBy(ctx, model, deadline)
+		if decision.Outcome != Granted {
+			return nil, decision
+		}
+		c, err := h.dial(ctx, decision.Response.Machine, element)
+		if err == nil {
+			return c, decision
+		}
+		h.tracker.Release(model)
+		h.log.Debug("model not reached", "model", model, "machine", decision.Response.Machine, "err", err)
+		unreached := Decision{Response: decision.Response, Reason: "the model can't be reached; nothing was sent to it"}
+		if !time.Now().Add(pause).Before(deadline) {
+			return nil, unreached
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return nil, unreached
+		}
+	}
+}
+
+// dial connects to a model's server on a machine.
+func (h *Handler) dial(ctx context.Context, machine, element string) (*connection, error) {
 	target, err := Target(h.config.Target, machine, element)
 	if err != nil {
-		h.log.Error("model has no address", "machine", machine, "err", err)
-		refuse(w, http.StatusServiceUnavailable, "the model has no address", time.Second)
-		return
+		return nil, err
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	c, err := dialer.DialContext(ctx, "tcp", target.Host)
+	if err != nil {
+		return nil, err
 	}
-	out := r.WithContext(context.WithValue(r.Context(), targetKey{}, target))
+	return &connection{c, target}, nil
+}
+
+// passOn passes a request on over its connection, once.
+func (h *Handler) passOn(w http.ResponseWriter, r *http.Request, c *connection) {
+	out := r.WithContext(context.WithValue(r.Context(), connectionKey{}, c))
 	out.URL.Path = "/" + r.PathValue("rest")
 	out.URL.RawPath = ""
 	h.proxy.ServeHTTP(w, out)
@@ -128,15 +187,11 @@
 func (h *Handler) notPassedOn(w http.ResponseWriter, _ *http.Request, err error) {
 	h.log.Debug("request not answered by its model", "err", err)
 	var tooLarge *http.MaxBytesError
-	var network *net.OpError
-	switch {
-	case errors.As(err, &tooLarge):
+	if errors.As(err, &tooLarge) {
 		refuse(w, http.StatusRequestEntityTooLarge, "the body is too large", 0)
-	case errors.As(err, &network) && network.Op == "dial":
-		refuse(w, http.StatusServiceUnavailable, "the model can't be reached; nothing was sent to it", time.Second)
-	default:
-		refuse(w, http.StatusBadGateway, "the model has not answered; it may have carried the request out", 0)
+		return
 	}
+	refuse(w, http.StatusBadGateway, "the model has not answered; it may have carried the request out", 0)
 }
 
 // refusal is the body of an answer that isn't the model's.
--- a/internal/activator/tracker.go
+++ b/internal/activator/tracker.go
@@ -64,7 +64,6 @@
 	// request asks for a model.
 	request struct {
 		model    string
-		came     time.Time
 		deadline time.Time // until when it may be held
 		reply    chan Decision
 		held     bool
@@ -112,8 +111,15 @@
 // Acquire decides on a request for a model: the leader is told of the demand if the model doesn't
 // answer, and the request may be held meanwhile. One that is granted counts as in flight until Release.
 func (t *Tracker) Acquire(ctx context.Context, name string) Decision {
-	now := time.Now()
-	r := &request{model: name, came: now, deadline: now.Add(t.limits.Hold), reply: make(chan Decision, 1)}
+	return t.AcquireBy(ctx, name, t.Deadline())
+}
+
+// Deadline is until when a request that comes now may be held.
+func (t *Tracker) Deadline() time.Time { return time.Now().Add(t.limits.Hold) }
+
+// AcquireBy is Acquire for a request that came earlier, and may be held until its deadline.
+func (t *Tracker) AcquireBy(ctx context.Context, name string, deadline time.Time) Decision {
+	r := &request{model: name, deadline: deadline, reply: make(chan Decision, 1)}
 	if !t.post(ctx, r) {
 		return Decision{Reason: "too much is asked at once"}
 	}
