--- a/internal/coordination/activation.go
+++ b/internal/coordination/activation.go
@@ -38,8 +38,9 @@
 const (
 	// defaultBody is the largest request that is passed on.
 	defaultBody = 4 << 20
-	// heldBytes is what a held request takes: its connection's buffers and its goroutines' stacks.
-	heldBytes = 48 << 10
+	// heldBytes is about what a held request takes at its peak: its connection's buffers, its goroutines'
+	// stacks, and garbage (measured on the loopback, docs/cold-starts.md).
+	heldBytes = 64 << 10
 	// heldMemoryShare of the memory quota may go to held requests.
 	heldMemoryShare = 1.0 / 16
 	// modelSocketShare of the sockets go to requests for models, each of which takes two: its client's
