The call that resumes records at a term's start has a test of its own

Cause: of 28 guards that were taken out one by one this one survived. Change: the test runs the dispatcher until before its clock's first look.

--- a/internal/coordination/activation_guards_test.go
+++ b/internal/coordination/activation_guards_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -173,11 +174,16 @@
 		if j.attempts[0].stop {
 			t.Error("stopped before the term's actors run")
 		}
-		d.activation.resume(time.Now())
+		ctx, end := context.WithCancel(context.Background())
+		d.ctx = ctx
+		go func() { _ = d.run(ctx) }()
+		time.Sleep(scale(d.settings.Report, tickPerReport/2)) // before the clock's first look
+		end()
+		synctest.Wait()
 		if !j.attempts[0].stop {
 			t.Error("not stopped")
 		}
-		if till := j.managed.routedTill; time.Until(till) < d.settings.RoutingLease() {
+		if till := j.managed.routedTill; till.Sub(d.began) < d.settings.RoutingLease() {
 			t.Errorf("routed till %v", till)
 		}
 	})
