--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -415,3 +415,11 @@
 	j, ok := f.jobs[id]
 	return j, ok
 }
+
+// Process returns the id of the controller's process, or 0.
+func (c *Controller) Process() int {
+	if c.cmd == nil {
+		return 0
+	}
+	return c.cmd.Process.Pid
+}
