--- a/review/standin/audit.go
+++ b/review/standin/audit.go
@@ -13,13 +13,13 @@
 	f  *Fleet
 	mu sync.Mutex
 
-	on_       map[string]map[*task]*Worker       // tasks on machines, by name
-	Starts    map[string]int                     // starts by job
-	Commands  map[string]int                     // run commands by job
-	DoneTasks map[string]map[string]bool         // completed tasks by job
-	Broken    []string                           // broken rules
-	OnStart   func(job, chore string, w *Worker) // called with each start
-	LogTasks  bool                               // whether each start and end goes to the record
+	on_       map[string]map[*task]*Worker           // tasks on machines, by name
+	Starts    map[string]int                         // starts by job
+	Commands  map[string]int                         // run commands by job
+	DoneTasks map[string]map[string]bool             // completed tasks by job
+	Broken    []string                               // broken rules
+	OnStart   func(job Job, chore string, w *Worker) // called with each start
+	LogTasks  bool                                   // whether each start and end goes to the record
 }
 
 func newAudit(f *Fleet) *Audit {
@@ -74,7 +74,7 @@
 		a.f.Logf("%s: %s attempt %d starts (%s, zone %s)", w.Name, name, t.key.try, w.Type, w.Zone)
 	}
 	if a.OnStart != nil {
-		a.OnStart(t.job.ID, name, w)
+		a.OnStart(t.job, name, w)
 	}
 }
 
