--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -30,7 +30,7 @@
 	deletedAt  atomic.Pointer[time.Time]
 	up         atomic.Bool
 
-	// Held, if set, is called with each request at /orders before it is carried out.
+	// OnOrders, if set, is called with each request at /orders before it is carried out.
 	OnOrders func(w *Worker, body []byte)
 
 	mu         sync.Mutex
