--- a/review/1/driver/main.go
+++ b/review/1/driver/main.go
@@ -57,7 +57,7 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	answered, longest, refused := time.Now(), time.Duration(0), 0
-	for f.Since() < 115 && longest < silence {
+	for f.Since() < 109 && longest < silence {
 		for i, c := range f.Controllers {
 			a := f.Ask(i, "GET", "/v1/jobs/"+service.ID, nil, 2*time.Second)
 			f.Logf("user: GET /v1/jobs/%s at %s -> %v", service.ID, c.Name, a)
--- a/review/2/driver/main.go
+++ b/review/2/driver/main.go
@@ -57,7 +57,7 @@
 		return 0 // nothing was accepted, so nothing is owed
 	}
 	answered, longest, refused := time.Now(), time.Duration(0), 0
-	for n := 0; f.Since() < 115 && longest < silence; n++ {
+	for n := 0; f.Since() < 111 && longest < silence; n++ {
 		i := n % len(f.Controllers) // as a load balancer spreads a user's connections
 		a := f.Ask(i, "GET", "/v1/jobs/"+service.ID, nil, 2*time.Second)
 		f.Logf("user: GET /v1/jobs/%s at %s -> %v", service.ID, f.Controllers[i].Name, a)
