--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -11,8 +11,10 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -41,6 +43,7 @@
 	CloudRPS  float64
 	Types     []MachineType
 	AtStart   []Machine // machines that are up at the start
+	Capacity  int       // machines that the cloud can give in all; 0: any number
 	LogLevel  string
 	NodeZones []string
 }
@@ -76,6 +79,13 @@
 		Options: o, Log: log, Store: NewStore(log, o.ValueKB, o.TxnOps), dir: dir,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
+	ends := make(chan os.Signal, 1)
+	signal.Notify(ends, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-ends
+		f.Close()
+		os.Exit(2)
+	}()
 	for i, zone := range o.NodeZones {
 		n := &Node{Name: fmt.Sprintf("herder-%d", i), Zone: zone}
 		for _, a := range []*string{&n.Addr, &n.Peers} {
--- a/review/standin2/workers.go
+++ b/review/standin2/workers.go
@@ -85,8 +85,16 @@
 	started  map[string]int // task -> number of starts
 	// Starts is called with each start, with mu held.
 	Starts func(chore, machine, zone string, job Job)
+	// Done is called when a task has completed, with mu held.
+	Done func(chore string, at time.Time)
 }
 
+// Lock locks the state that the callbacks share with a driver.
+func (w *Workers) Lock() { w.mu.Lock() }
+
+// Unlock ends Lock.
+func (w *Workers) Unlock() { w.mu.Unlock() }
+
 func newWorkers(f *Fleet) *Workers {
 	return &Workers{f: f, jobs: make(map[string]Job), hires: make(map[string][]string), started: make(map[string]int)}
 }
@@ -442,10 +450,23 @@
 		defer m.w.mu.Unlock()
 		if m.tasks[taskKey{t.Chore, t.Try}] == t && t.Standing == "running" {
 			m.end(t, "done")
+			if m.w.Done != nil {
+				m.w.Done(t.Chore, time.Now())
+			}
 		}
 	})
 }
 
+// present returns how many machines there are. mu is held.
+func (w *Workers) present() (n int) {
+	for _, m := range w.machines {
+		if !m.gone {
+			n++
+		}
+	}
+	return n
+}
+
 func (w *Workers) cloudHandler() http.Handler {
 	mux := http.NewServeMux()
 	reply := func(rw http.ResponseWriter, status int, body any) { send(rw, answer{status, body}) }
@@ -467,11 +488,18 @@
 		names, known := w.hires[h.Hire]
 		if !known {
 			for range h.Count {
+				if c := w.f.Options.Capacity; c > 0 && w.present() >= c {
+					break
+				}
 				if err := w.add(Machine{h.Breed, h.Pasture, h.Loaner}, time.Duration(w.kind(h.Breed).BootS*float64(time.Second))); err != nil {
 					break
 				}
 				names = append(names, w.machines[len(w.machines)-1].name)
 			}
+			if len(names) == 0 {
+				reply(rw, http.StatusServiceUnavailable, map[string]string{"error": "no capacity"})
+				return
+			}
 			w.hires[h.Hire] = names
 			w.f.Log.Event("rented", "hire", h.Hire, "breed", h.Breed, "zone", h.Pasture, "machines", names)
 		}
