--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -349,3 +349,9 @@
 		time.Sleep(time.Second)
 	}
 }
+
+// Pause stops a controller, as a machine that stands still does, until Continue.
+func (n *Node) Pause() { _ = n.process.Process.Signal(syscall.SIGSTOP) }
+
+// Continue ends Pause.
+func (n *Node) Continue() { _ = n.process.Process.Signal(syscall.SIGCONT) }
--- a/review/standin2/workers.go
+++ b/review/standin2/workers.go
@@ -10,6 +10,7 @@
 	"math/rand"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -574,3 +575,50 @@
 	defer w.mu.Unlock()
 	return w.twice
 }
+
+// CPUs returns the CPUs of all tasks on machines.
+func (w *Workers) CPUs() (cpus float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range w.machines {
+		for _, t := range m.tasks {
+			if t.Standing == "running" {
+				cpus += t.job.Cpus
+			}
+		}
+	}
+	return cpus
+}
+
+// Ran reports whether a task of a job has run.
+func (w *Workers) Ran(job string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for chore := range w.started {
+		if strings.HasPrefix(chore, job+"/") {
+			return true
+		}
+	}
+	return false
+}
+
+// HasRoom reports whether a machine that is up and that the job allows has room for one of its tasks.
+func (w *Workers) HasRoom(j Job) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range w.machines {
+		if m.gone || !m.up || j.Pasture != nil && *j.Pasture != m.zone || m.loaner && !j.Loaner || len(j.Breeds) > 0 && !slices.Contains(j.Breeds, m.kind.Sku) {
+			continue
+		}
+		cpus, gpus, memory := j.Cpus, j.Gpus, j.MemoryGb
+		for _, t := range m.tasks {
+			if t.Standing != "ended" {
+				cpus, gpus, memory = cpus+t.job.Cpus, gpus+t.job.Gpus, memory+t.job.MemoryGb
+			}
+		}
+		if cpus <= m.kind.Cpus && gpus <= m.kind.Gpus && memory <= m.kind.MemoryGb {
+			return true
+		}
+	}
+	return false
+}
