--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -44,6 +44,7 @@
 	Types     []MachineType
 	AtStart   []Machine // machines that are up at the start
 	Capacity  int       // machines that the cloud can give in all; 0: any number
+	FullZone  string    // a zone in which the cloud has no machine to give
 	LogLevel  string
 	NodeZones []string
 	// Properties are the operators' properties, empty: none.
--- a/review/standin2/workers.go
+++ b/review/standin2/workers.go
@@ -517,7 +517,7 @@
 		names, known := w.hires[h.Hire]
 		if !known {
 			for range h.Count {
-				if c := w.f.Options.Capacity; c > 0 && w.present() >= c {
+				if c := w.f.Options.Capacity; c > 0 && w.present() >= c || w.f.Options.FullZone == h.Pasture {
 					break
 				}
 				if err := w.add(Machine{h.Breed, h.Pasture, h.Loaner}, time.Duration(w.kind(h.Breed).BootS*float64(time.Second))); err != nil {
